--- a/tamarindhub/__init__.py
+++ b/puffinford/__init__.py
@@ -1,6 +1,6 @@
 """Decisions of a balancer that places long-lived connections."""
 
-from tamarindhub.balance import Balancer
-from tamarindhub.interface import Settings
+from puffinford.balance import Balancer
+from puffinford.interface import Settings
 
 __all__ = ["Balancer", "Settings"]
--- a/tamarindhub/balance.py
+++ b/puffinford/balance.py
@@ -1,4 +1,4 @@
-"""All decisions of one balancer. Its settings, events and actions stand in `tamarindhub/interface.py`.
+"""All decisions of one balancer. Its settings, events and actions stand in `puffinford/interface.py`.
 
 The mechanism (docs/design.md): each balancer keeps its own shuffle of the server list; a short prefix
 of reachable entries is its working set; a new connection compares the head of the prefix with one
@@ -14,7 +14,7 @@
 from hashlib import blake2b
 from operator import attrgetter
 
-from tamarindhub.interface import (
+from puffinford.interface import (
     Action,
     Attempt,
     Cancel,
--- a/tamarindhub/codec.py
+++ b/puffinford/codec.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from tamarindhub import interface as it
+from puffinford import interface as it
 
 Fields = dict[str, Any]
 
--- a/tamarindhub/wirehost.py
+++ b/puffinford/wirehost.py
@@ -11,9 +11,9 @@
 
 import orjson
 
-from tamarindhub import codec
-from tamarindhub.balance import Balancer
-from tamarindhub.interface import Event
+from puffinford import codec
+from puffinford.balance import Balancer
+from puffinford.interface import Event
 
 Batch = list[tuple[int, list[Event]]]
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tamarindhub.balance import Balancer
-from tamarindhub.interface import (
+from puffinford.balance import Balancer
+from puffinford.interface import (
     Action,
     Attempt,
     Cancel,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,8 +7,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from tamarindhub.balance import Balancer
-from tamarindhub.interface import (
+from puffinford.balance import Balancer
+from puffinford.interface import (
     Action,
     Attempt,
     Cancel,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from tamarindhub.wirehost import WireHost, serve
+from puffinford.wirehost import WireHost, serve
 
 FACTS: dict[str, Any] = {
     "classes": [{"name": "feed", "give_up": 2000.0, "repeat": "idempotent", "group": "all", "aim": 300.0}],
@@ -140,6 +140,6 @@
 
 def test_the_program_ends_with_its_input() -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "tamarindhub.wirehost"], input=line() + b"\n", capture_output=True, check=False
+        [sys.executable, "-m", "puffinford.wirehost"], input=line() + b"\n", capture_output=True, check=False
     )
     assert (done.returncode, done.stdout, done.stderr) == (0, b'{"do":[]}\n', b"")
