--- /dev/null
+++ b/puffinford/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from puffinford.cli import main
+
+sys.exit(main())
--- a/puffinford/codec.py
+++ b/puffinford/codec.py
@@ -151,10 +151,10 @@
     seed = integer("hello", fields, "rng_seed")
     if type(fields.get("facts")) is not dict:
         raise _bad("hello", "facts", fields)
-    return seed, _decode_settings(fields["facts"])
+    return seed, decode_settings(fields["facts"])
 
 
-def _decode_settings(facts: Fields) -> it.Settings:
+def decode_settings(facts: Fields) -> it.Settings:
     event = "hello.facts"
     domain = _section(event, facts, "domain")
     permissions = _section(event, facts, "permissions")
--- /dev/null
+++ b/puffinford/config.py
@@ -0,0 +1,76 @@
+"""What a balancer is told at its start, from the environment and the file that it names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from puffinford.codec import WireError, decode_settings
+from puffinford.core.values import MachineList
+from puffinford.interface import Settings
+from puffinford.machines.entries import BadEntry, machine_list, parse_address
+
+
+class BadConfig(Exception):
+    """The configuration cannot be used; the text says where and why."""
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int] | None
+    seed: int
+    settings: Settings
+    known: MachineList | None
+
+
+def _address(told: Mapping[str, Any], name: str) -> tuple[str, int] | None:
+    text = told.get(name)
+    if text is None:
+        return None
+    if not isinstance(text, str):
+        raise BadConfig(f"{name}: no text")
+    try:
+        return parse_address(text)
+    except BadEntry as exc:
+        raise BadConfig(f"{name}: {exc}") from None
+
+
+def load(env: Mapping[str, str], from_unix: Callable[[float], float]) -> Config:
+    path = env.get("EDGE_CONFIG")
+    if not path:
+        raise BadConfig("EDGE_CONFIG names no file")
+    try:
+        told = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as exc:
+        raise BadConfig(f"{path}: {exc}") from None
+    if not isinstance(told, dict):
+        raise BadConfig(f"{path}: not an object")
+    for name in ("name", "listen", "discovery"):
+        if env.get(f"EDGE_{name.upper()}"):
+            told[name] = env[f"EDGE_{name.upper()}"]
+    listen = _address(told, "listen")
+    if listen is None:
+        raise BadConfig("listen: missing")
+    if not isinstance(told.get("settings"), dict):
+        raise BadConfig("settings: missing")
+    try:
+        settings = decode_settings(told["settings"])
+    except (WireError, ValueError) as exc:
+        raise BadConfig(str(exc)) from None
+    seed = told.get("seed", 0)
+    try:
+        number = int(seed, 16) if isinstance(seed, str) else int(seed)
+    except (ValueError, TypeError):
+        raise BadConfig("seed: no number") from None
+    known = None
+    if told.get("known") is not None:
+        try:
+            known = machine_list(told["known"], from_unix, lambda text: None)
+        except BadEntry as exc:
+            raise BadConfig(f"known: {exc}") from None
+    return Config(str(told.get("name", "")), listen, _address(told, "discovery"), number, settings, known)
--- /dev/null
+++ b/puffinford/core/clock.py
@@ -0,0 +1,66 @@
+"""The one clock: milliseconds as a float, anchored at Unix time when it is made, never going back."""
+
+from __future__ import annotations
+
+import heapq
+import time
+from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
+
+import anyio
+
+
+class Clock:
+    """The system's time. Tests use `SettableClock` in its place."""
+
+    def __init__(self) -> None:
+        self._offset = time.time() * 1000.0 - time.monotonic() * 1000.0
+
+    def now(self) -> float:
+        return time.monotonic() * 1000.0 + self._offset
+
+    def from_unix(self, unix_ms: float) -> float:
+        """A moment given as Unix time, on this clock; 0 (long ago) stays 0."""
+        return unix_ms + self.now() - time.time() * 1000.0 if unix_ms > 0 else 0.0
+
+    async def sleep(self, ms: float) -> None:
+        await anyio.sleep(max(0.0, ms) / 1000.0)
+
+    def limit(self, ms: float) -> AbstractContextManager[anyio.CancelScope]:
+        """A scope that is cancelled after so long; it does not raise."""
+        return anyio.move_on_after(max(0.0, ms) / 1000.0)
+
+
+class SettableClock(Clock):
+    """A clock that stands still until a test advances it."""
+
+    def __init__(self, start: float = 1_000_000.0) -> None:
+        self._now = start
+        self._heap: list[tuple[float, int, Callable[[], object]]] = []
+        self._count = 0
+
+    def now(self) -> float:
+        return self._now
+
+    def from_unix(self, unix_ms: float) -> float:
+        return unix_ms
+
+    def advance(self, ms: float) -> None:
+        self._now += ms
+        while self._heap and self._heap[0][0] <= self._now:
+            heapq.heappop(self._heap)[2]()
+
+    def _at(self, ms: float, call: Callable[[], object]) -> None:
+        self._count += 1
+        heapq.heappush(self._heap, (self._now + ms, self._count, call))
+
+    async def sleep(self, ms: float) -> None:
+        due = anyio.Event()
+        self._at(ms, due.set)
+        await (due.wait() if ms > 0 else anyio.sleep(0))
+
+    @contextmanager
+    def limit(self, ms: float) -> Iterator[anyio.CancelScope]:
+        with anyio.CancelScope() as scope:
+            self._at(ms, scope.cancel)
+            yield scope
--- /dev/null
+++ b/puffinford/core/exchange.py
@@ -0,0 +1,570 @@
+"""The exchange: the only place where submitter side and server side meet.
+
+It owns the job table, tells the decision module what happens, and carries out what the module decides.
+Each job gets one final answer, and never has two claims out. It knows neither bytes nor fronts.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Mapping
+
+import anyio
+import anyio.abc
+
+from puffinford import interface as it
+from puffinford.balance import Balancer, stable_hash
+from puffinford.core.clock import Clock
+from puffinford.core.delays import DelayMeter, Unanswered
+from puffinford.core.values import (
+    Broken,
+    Busy,
+    ClaimEnded,
+    Ended,
+    Failed,
+    Kind,
+    Leg,
+    Machine,
+    MachineList,
+    MachineSource,
+    Message,
+    Opening,
+    ServerSide,
+    SubmitterLeg,
+    Up,
+)
+
+log = logging.getLogger(__name__)
+
+ROUND = 1_000.0  # notes of slow messages come once a second
+SILENT = 5_000.0  # a line unanswered this long; the rules allow a silent connection 7 s
+HALF_CLOSED = 800.0  # how long a submitter that ended may still hear its server; the rules allow 1 s
+AT_RETRY = 250.0  # between tries of a connection that stood before the run
+MOVE_MOST = 800.0  # a submitter that takes no MOVE in this time is cut off
+OPENING_GRACE = 25.0  # before the submitter's patience ends the exchange answers on its own
+
+
+class Claim:
+    """One attempt at a server."""
+
+    __slots__ = ("cancelled", "leg", "machine", "number", "scope", "started", "unanswered")
+
+    def __init__(self, machine: Machine, number: int, started: float) -> None:
+        self.machine = machine
+        self.number = number
+        self.started = started
+        self.scope = anyio.CancelScope()
+        self.cancelled = False
+        self.leg: Leg | None = None  # set once it stands
+        self.unanswered = Unanswered()
+
+
+class Job:
+    """One request, from its opening to the end of its connection."""
+
+    def __init__(self, opening: Opening, submitter: SubmitterLeg, deadline: float) -> None:
+        self.opening = opening
+        self.submitter = submitter
+        self.deadline = deadline
+        self.tasks: anyio.abc.TaskGroup
+        self.claim: Claim | None = None
+        self.claims = 0
+        self.up = anyio.Event()
+        self.done = anyio.Event()
+        self.answered = False
+        self.ending: Ending | None = None
+
+    @property
+    def id(self) -> str:
+        return self.opening.job
+
+    @property
+    def standing(self) -> bool:
+        return self.ending is None and self.claim is not None and self.claim.leg is not None
+
+
+class Ending:
+    """How a job ends: an answer, or what happens to both legs of a connection that stood."""
+
+    __slots__ = ("answer", "broken", "move")
+
+    def __init__(
+        self, answer: Busy | Failed | None = None, *, broken: bool = False, move: bool = False
+    ) -> None:
+        self.answer = answer
+        self.broken = broken
+        self.move = move
+
+
+class Exchange:
+    def __init__(
+        self,
+        settings: it.Settings,
+        seed: int,
+        clock: Clock,
+        sides: Mapping[str, ServerSide],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._sides = sides
+        self._balancer = Balancer(settings, seed)
+        self._rng = random.Random(seed ^ 0x5EED)
+        self._classes = {cls.name for cls in settings.classes}
+        self._machines: dict[str, Machine] = {}
+        self._jobs: dict[str, Job] = {}
+        self._inbox: list[it.Event] = []
+        self._telling = False
+        self._meter = DelayMeter(
+            min((c.message_aim for c in settings.classes if c.message_aim > 0), default=0.0)
+        )
+        self._source: MachineSource | None = None
+        self._tasks: anyio.abc.TaskGroup
+        self._leaving = False
+
+    async def run(self, source: MachineSource, known: MachineList | None = None) -> None:
+        """Serve until cancelled. Jobs may come once this has started."""
+        self._source = source
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            if known is not None:
+                self._take(known, it.ListKind.RESTORED)
+            else:
+                self._tell(it.ServerList(it.ListKind.RESTORED))
+            while True:
+                await self._clock.sleep(ROUND)
+                self._round()
+
+    # The machine list
+
+    def take_list(self, machines: MachineList | None) -> None:
+        """A list has come, or (None) a call for one has failed."""
+        if machines is None:
+            self._tell(it.ServerList(it.ListKind.UNAVAILABLE))
+        else:
+            self._take(machines, it.ListKind.REPLACE if machines.full else it.ListKind.UPDATE)
+
+    def _take(self, machines: MachineList, kind: it.ListKind) -> None:
+        if kind is not it.ListKind.UPDATE:
+            self._machines.clear()
+        for machine in machines.machines:
+            if machine.server.state is it.ServerState.GONE:
+                self._machines.pop(machine.server.id, None)
+            else:
+                self._machines[machine.server.id] = machine
+        for machine in machines.machines:
+            server = machine.server
+            log.info("machine", extra={"server": server.id, "state": server.state.value, "list": kind.value})
+        self._tell(it.ServerList(kind, [m.server for m in machines.machines], machines.version))
+
+    # The decision module
+
+    def _tell(self, event: it.Event) -> None:
+        """Tell the module, and carry out what it decides; what happens meanwhile waits its turn."""
+        self._inbox.append(event)
+        if self._telling:
+            return
+        self._telling = True
+        try:
+            while self._inbox:
+                batch, self._inbox = self._inbox, []
+                try:
+                    actions = self._balancer.handle(self._clock.now(), batch)
+                except Exception:
+                    # Guards the standing connections against a fault in a decision: the job it was
+                    # about is answered by its own time limit.
+                    log.exception("decision failed", extra={"events": repr(batch)[:300]})
+                    continue
+                for action in actions:
+                    self._carry_out(action)
+        finally:
+            self._telling = False
+
+    def _carry_out(self, action: it.Action) -> None:
+        match action:
+            case it.Attempt():
+                self._start_claim(action)
+            case it.Refuse():
+                self._finish(action.id, Ending(Busy(action.retry_after)))
+            case it.Fail():
+                self._finish(action.id, Ending(Failed()))
+            case it.Cancel():
+                job = self._jobs.get(action.id)
+                if job is not None and job.claim is not None and job.claim.number == action.attempt:
+                    job.claim.cancelled = True
+                    job.claim.scope.cancel()
+            case it.Move():
+                job = self._jobs.get(action.id)
+                if job is not None and job.standing:
+                    self._close(job, Ending(move=True), it.Result.CANCELLED)
+            case it.SetTimer():
+                self._tasks.start_soon(self._timer, action)
+            case it.Subscribe():
+                if self._source is not None:
+                    self._source.subscribe(action.on)
+            case it.ListAll():
+                if self._source is not None:
+                    self._source.fetch()
+            case it.Probe():
+                self._tasks.start_soon(self._probe, action.server)
+            case it.CloseIdle():
+                pass  # each submitter has a connection of its own: none stands idle
+            case it.Log():
+                log.info("decision", extra={"text": action.message})
+
+    async def _timer(self, action: it.SetTimer) -> None:
+        await self._clock.sleep(action.delay)
+        self._tell(it.Timer(action.token))
+
+    async def _probe(self, ident: str) -> None:
+        machine = self._machines.get(ident)
+        started = self._clock.now()
+        result = it.Result.CONNECT_FAILED
+        if machine is not None:
+            wait = self._settings.connect_timeout
+            result = await self._sides[machine.front].probe(machine, wait)
+        self._tell(it.ProbeResult(ident, result, self._clock.now() - started))
+
+    # Jobs
+
+    async def serve(self, opening: Opening, submitter: SubmitterLeg) -> None:
+        """Serve one job to its end. Exactly one final answer goes to the submitter."""
+        if opening.cls not in self._classes:
+            return await self._answer_and_end(submitter, Failed("unknown class"))
+        if opening.job in self._jobs:
+            return await self._answer_and_end(submitter, Failed("id in use"))
+        if self._leaving:
+            return await self._answer_and_end(submitter, Busy(self._settings.max_retry_after))
+        job = self._jobs[opening.job] = Job(opening, submitter, self._clock.now() + opening.wait)
+        try:
+            async with anyio.create_task_group() as tasks:
+                job.tasks = tasks
+                tasks.start_soon(self._listen, job)
+                if opening.at is not None:
+                    tasks.start_soon(self._resume, job, opening.at)
+                else:
+                    tasks.start_soon(self._guard, job)
+                    self._tell(self._request(job))
+                await job.done.wait()
+                tasks.cancel_scope.cancel()
+        finally:
+            del self._jobs[job.id]
+        await self._end_legs(job)
+
+    def _request(self, job: Job) -> it.Request:
+        opening = job.opening
+        return it.Request(
+            job.id,
+            opening.cls,
+            opening.wait,
+            opening.tenant,
+            opening.came_back,
+            opening.retry,
+            None if opening.group is None else _number(opening.group),
+            False,
+            opening.load,
+            _number(opening.key),
+        )
+
+    async def _guard(self, job: Job) -> None:
+        """Answer a job that the module has left without one, just before its submitter gives up."""
+        with self._clock.limit(job.deadline - self._clock.now() + self._settings.answer_slack):
+            await job.up.wait()
+            return
+        if job.ending is None and not job.standing:
+            log.error("unanswered", extra={"job": job.id})
+            if job.claim is not None:
+                job.claim.scope.cancel()
+            job.ending = Ending(Failed("out of time"))
+            job.done.set()
+            self._tell(it.ClientLeft(job.id))
+
+    def _finish(self, ident: str, ending: Ending) -> None:
+        job = self._jobs.get(ident)
+        if job is not None and job.ending is None:
+            job.ending = ending
+            job.done.set()
+
+    def _close(self, job: Job, ending: Ending, result: it.Result) -> None:
+        """End a standing connection, and tell the module so."""
+        claim = job.claim
+        if job.ending is not None or claim is None:
+            return
+        job.ending = ending
+        job.done.set()
+        latency = self._clock.now() - claim.started
+        self._tell(it.Outcome(job.id, claim.number, claim.machine.server.id, result, latency, True))
+        log.info(
+            "end",
+            extra={
+                "job": job.id,
+                "server": claim.machine.server.id,
+                "result": result.value,
+                "moved": ending.move,
+                "stood_ms": round(latency),
+            },
+        )
+
+    async def _end_legs(self, job: Job) -> None:
+        ending = job.ending
+        assert ending is not None
+        submitter = job.submitter
+        server = job.claim.leg if job.claim is not None else None
+        async with anyio.create_task_group() as tasks:
+            if server is not None:
+                tasks.start_soon(server.abort if ending.broken or ending.answer else server.end)
+            if ending.answer is not None:
+                await self._answer_and_end(submitter, ending.answer)
+                return
+            if ending.broken:
+                await submitter.abort()
+                return
+            if ending.move:
+                with self._clock.limit(MOVE_MOST) as scope:
+                    try:
+                        await submitter.move()
+                    except Broken:
+                        scope.cancel()
+                if scope.cancelled_caught or scope.cancel_called:
+                    await submitter.abort()
+                    return
+            await submitter.end()
+
+    async def _answer_and_end(self, submitter: SubmitterLeg, answer: Busy | Failed) -> None:
+        try:
+            await submitter.answer(answer)
+        except Broken:
+            await submitter.abort()
+        else:
+            await submitter.end()
+
+    # The submitter's side of a job
+
+    async def _listen(self, job: Job) -> None:
+        """Pass on what the submitter sends; before UP only its leaving matters."""
+        broken = False
+        try:
+            while True:
+                message = await job.submitter.receive()
+                await job.up.wait()
+                claim = job.claim
+                if claim is None or claim.leg is None:
+                    return
+                claim.unanswered.sent(self._clock.now())
+                try:
+                    await claim.leg.send(message)
+                except Broken:
+                    return  # what reads from the server says how it ended
+        except Ended:
+            pass
+        except Broken:
+            broken = True
+        if job.ending is not None:
+            return
+        if not job.standing:
+            self._tell(it.ClientLeft(job.id))
+            if job.claim is not None:
+                job.claim.cancelled = True
+                job.claim.scope.cancel()
+            if job.ending is None:
+                job.ending = Ending(broken=True)
+                job.done.set()
+            return
+        if not broken and job.claim is not None and job.claim.leg is not None:
+            try:
+                await job.claim.leg.end_sending()
+                await self._clock.sleep(HALF_CLOSED)
+            except Broken:
+                pass
+        self._close(job, Ending(broken=broken), it.Result.CANCELLED)
+
+    # The server's side of a job
+
+    def _start_claim(self, action: it.Attempt) -> None:
+        job = self._jobs.get(action.id)
+        number = 0
+        result = it.Result.MOOT
+        if job is not None and job.ending is None:
+            number = job.claims
+            machine = self._machines.get(action.server)
+            if job.claim is not None:
+                log.error("second claim withheld", extra={"job": job.id, "server": action.server})
+            elif machine is None:
+                job.claims += 1
+                result = it.Result.CONNECT_FAILED
+            else:
+                job.claims += 1
+                job.claim = Claim(machine, number, self._clock.now())
+                job.tasks.start_soon(self._claim, job, job.claim, action.timeout)
+                return
+        closed = job is None or job.ending is not None
+        self._tell(it.Outcome(action.id, number, action.server, result, 0.0, closed))
+
+    async def _try(self, job: Job, claim: Claim, wait: float) -> tuple[Up | None, ClaimEnded]:
+        """One claim, up or ended; cancelled it gives nothing back but its result."""
+        ended = ClaimEnded(it.Result.CANCELLED)
+        up = None
+        with claim.scope:
+            try:
+                side = self._sides[claim.machine.front]
+                claim.leg, up = await side.claim(claim.machine, job.opening, wait)
+            except ClaimEnded as exc:
+                ended = exc
+        return up, ended
+
+    async def _claim(self, job: Job, claim: Claim, timeout: float) -> None:
+        left = job.deadline - claim.started
+        up, ended = await self._try(job, claim, min(timeout, left) if timeout > 0 else left)
+        server = claim.machine.server.id
+        latency = self._clock.now() - claim.started
+        if up is not None:
+            self._tell(it.Established(job.id, claim.number, server, latency))
+            await self._relay(job, claim, up)
+            return
+        job.claim = None
+        log.info(
+            "claim ended",
+            extra={
+                "job": job.id,
+                "server": server,
+                "result": ended.result.value,
+                "number": claim.number,
+                "ms": round(latency, 1),
+            },
+        )
+        if ended.result is it.Result.OK and job.ending is None:
+            # Served to its end before it ever stood: what the server sent is the answer.
+            await self._pass_all(job, ended.messages)
+            self._finish(job.id, Ending())
+        closed = job.ending is not None
+        self._tell(it.Outcome(job.id, claim.number, server, ended.result, latency, closed))
+
+    async def _pass_all(self, job: Job, messages: tuple[Message, ...]) -> None:
+        try:
+            for message in messages:
+                await job.submitter.send(message)
+        except Broken:
+            pass
+
+    async def _resume(self, job: Job, ident: str) -> None:
+        """A connection that stood at a server before the run: only that server can take it."""
+        while True:
+            machine = self._machines.get(ident)
+            left = job.deadline - self._clock.now()
+            if machine is None or left <= 0:
+                log.warning(
+                    "not resumed", extra={"job": job.id, "server": ident, "known": machine is not None}
+                )
+                self._finish(job.id, Ending(Failed("cannot be resumed")))
+                return
+            claim = job.claim = Claim(machine, 0, self._clock.now())
+            up, ended = await self._try(job, claim, left)
+            if up is not None:
+                self._tell(it.Inherited(self._request(job), ident))
+                await self._relay(job, claim, up)
+                return
+            job.claim = None
+            log.info("claim ended", extra={"job": job.id, "server": ident, "result": ended.result.value})
+            if ended.result not in (it.Result.FULL, it.Result.CONNECT_FAILED):
+                left = 0.0
+                self._finish(job.id, Ending(Failed("cannot be resumed")))
+                return
+            await self._clock.sleep(AT_RETRY * (0.5 + self._rng.random()))
+
+    async def _relay(self, job: Job, claim: Claim, up: Up) -> None:
+        """Answer UP, then pass on what the server sends until it ends."""
+        leg = claim.leg
+        assert leg is not None
+        ident = claim.machine.server.id
+        last = Kind.DATA
+        broken = False
+        log.info(
+            "up",
+            extra={"job": job.id, "server": ident, "claims": claim.number + 1},
+        )
+        try:
+            try:
+                await job.submitter.answer(up)
+            except Broken:
+                return  # the listener hears it too
+            finally:
+                job.up.set()
+            while True:
+                message = await leg.receive()
+                delay = claim.unanswered.answered(self._clock.now())
+                if delay is not None:
+                    self._meter.sample(ident, delay)
+                if message.kind is Kind.LOAD:
+                    self._tell(it.LoadNote(job.id, ident, message.load))
+                last = message.kind
+                if job.ending is not None:
+                    return
+                try:
+                    await job.submitter.send(message)
+                except Broken:
+                    return
+        except Ended:
+            pass
+        except Broken:
+            broken = True
+        if last is Kind.BYE and not broken:
+            result = it.Result.OK
+        elif last is Kind.MOVE and not broken:
+            result = it.Result.CANCELLED
+        else:
+            result = it.Result.RESET
+        self._close(job, Ending(broken=broken), result)
+
+    # Standing connections
+
+    def _round(self) -> None:
+        """Once a second: notes of slow messages, and the end of connections gone silent."""
+        now = self._clock.now()
+        standing = [job for job in self._jobs.values() if job.standing]
+        waiting = []
+        carriers: dict[str, str] = {}
+        for job in standing:
+            assert job.claim is not None
+            ident = job.claim.machine.server.id
+            carriers.setdefault(ident, job.id)
+            age = job.claim.unanswered.age(now)
+            waiting.append((ident, age))
+            if age > SILENT:
+                # Guards against a server that vanished: its connections stay open and quiet.
+                log.warning("silent", extra={"job": job.id, "server": ident, "ms": round(age)})
+                self._close(job, Ending(move=True), it.Result.RESET)
+        for ident, delay in self._meter.round(waiting):
+            if ident in carriers:
+                log.info("slow", extra={"server": ident, "ms": round(delay, 1)})
+                self._tell(it.DelayNote(carriers[ident], ident, delay))
+
+    async def drain(self, settle: float, over: float) -> None:
+        """Move every standing connection, spread evenly; arrivals are served meanwhile."""
+        await self._clock.sleep(settle)
+        end = self._clock.now() + over
+        log.info("drain", extra={"standing": sum(job.standing for job in self._jobs.values())})
+        while (left := end - self._clock.now()) > 0:
+            standing = [job for job in self._jobs.values() if job.standing]
+            if standing:
+                job = self._rng.choice(standing)
+                self._close(job, Ending(move=True), it.Result.CANCELLED)
+            await self._clock.sleep(min(left, max(1.0, left / (len(standing) + 1)), 100.0))
+        self._leaving = True
+        for job in list(self._jobs.values()):
+            if job.standing:
+                self._close(job, Ending(move=True), it.Result.CANCELLED)
+            elif job.ending is None:
+                self._tell(it.ClientLeft(job.id))
+                if job.claim is not None:
+                    job.claim.scope.cancel()
+                self._finish(job.id, Ending(Busy(self._settings.max_retry_after)))
+        while self._jobs:
+            await self._clock.sleep(20.0)
+
+
+def _number(text: str) -> int:
+    """A key or group as the module wants it: the same number at every balancer."""
+    try:
+        return int(text, 16)
+    except ValueError:
+        return stable_hash(text)
--- /dev/null
+++ b/puffinford/core/values.py
@@ -0,0 +1,135 @@
+"""What the two sides and the exchange say to each other: small typed values, decoded once by a front."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from puffinford.interface import Result, Server
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """What a submitter asks for. `figures` are all its named values in their order, `wait` among them."""
+
+    job: str
+    key: str
+    cls: str
+    wait: float  # milliseconds that the submitter will wait for UP
+    tenant: str | None = None
+    group: str | None = None
+    retry: bool = False
+    came_back: bool = False
+    at: str | None = None  # the server that already holds this connection
+    load: float | None = None
+    figures: tuple[tuple[str, str | None], ...] = ()
+
+
+class Kind(Enum):
+    DATA = "data"
+    BYE = "bye"  # the server has served the connection to its end
+    MOVE = "move"  # the server sends its submitter away
+    LOAD = "load"  # the server tells the connection's load
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One message on a standing connection, as it came, with its line end."""
+
+    data: bytes
+    kind: Kind = Kind.DATA
+    load: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Up:
+    receipt: str
+
+
+@dataclass(frozen=True, slots=True)
+class Busy:
+    """The requeue notice: trying again is harmless, and when."""
+
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    reason: str = "failed"
+
+
+class Ended(Exception):
+    """The peer ended its side in order."""
+
+
+class Broken(Exception):
+    """The connection broke."""
+
+
+class ClaimEnded(Exception):
+    """A claim ended without standing; `messages` are what the server sent for the submitter."""
+
+    def __init__(self, result: Result, messages: tuple[Message, ...] = ()) -> None:
+        super().__init__(result.value)
+        self.result = result
+        self.messages = messages
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """An entry of the machine list: what the decisions see of a server, its address and its front."""
+
+    server: Server
+    host: str
+    port: int
+    front: str = "lines"
+
+
+@dataclass(frozen=True, slots=True)
+class MachineList:
+    version: int
+    full: bool
+    machines: list[Machine] = field(default_factory=list)
+
+
+class Leg(Protocol):
+    """One side's connection of a job."""
+
+    async def receive(self) -> Message:
+        """The next message; raises Ended or Broken."""
+
+    async def send(self, message: Message) -> None:
+        """Pass a message on whole; raises Broken."""
+
+    async def end_sending(self) -> None:
+        """Tell the peer that nothing more comes."""
+
+    async def end(self) -> None:
+        """End in order, within a second."""
+
+    async def abort(self) -> None:
+        """Break the connection, so that the peer sees it broken."""
+
+
+class SubmitterLeg(Leg, Protocol):
+    async def answer(self, answer: Up | Busy | Failed) -> None:
+        """The one answer to the opening."""
+
+    async def move(self) -> None:
+        """Tell the submitter to come back through the front."""
+
+
+class ServerSide(Protocol):
+    async def claim(self, machine: Machine, opening: Opening, wait: float) -> tuple[Leg, Up]:
+        """Make a claim; raises ClaimEnded with its result, TIMEOUT after `wait`."""
+
+    async def probe(self, machine: Machine, wait: float) -> Result: ...
+
+
+class MachineSource(Protocol):
+    """Where machine lists come from; the exchange hears of each through `take_list`."""
+
+    def subscribe(self, on: bool) -> None: ...
+
+    def fetch(self) -> None: ...
--- /dev/null
+++ b/puffinford/fronts/lines/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's line protocol."""
--- /dev/null
+++ b/puffinford/fronts/lines/leg.py
@@ -0,0 +1,46 @@
+"""A line connection as a leg of a job."""
+
+from __future__ import annotations
+
+from puffinford.core.values import Busy, Ended, Failed, Message, Up
+from puffinford.fronts.lines import codec
+from puffinford.fronts.sockets import LineReader, Wire
+
+
+class LineLeg:
+    def __init__(self, wire: Wire) -> None:
+        self._wire = wire
+        self._reader = LineReader()
+
+    async def read_line(self) -> bytes:
+        """The next line with its end; what came before an end without one is a line too."""
+        while (line := self._reader.next()) is None:
+            try:
+                self._reader.feed(await self._wire.read())
+            except Ended:
+                rest = self._reader.rest()
+                if not rest:
+                    raise
+                return rest
+        return line
+
+    async def receive(self) -> Message:
+        return codec.decode_message(await self.read_line())
+
+    async def send(self, message: Message) -> None:
+        await self._wire.write(message.data)
+
+    async def answer(self, answer: Up | Busy | Failed) -> None:
+        await self._wire.write(codec.encode_answer(answer))
+
+    async def move(self) -> None:
+        await self._wire.write(codec.MOVE)
+
+    async def end_sending(self) -> None:
+        await self._wire.end_sending()
+
+    async def end(self) -> None:
+        await self._wire.end()
+
+    async def abort(self) -> None:
+        await self._wire.abort()
--- /dev/null
+++ b/puffinford/machines/discovery.py
@@ -0,0 +1,131 @@
+"""The discovery watch: HTTP/1.1 through h11, one call after the other."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+import h11
+
+from puffinford.core.clock import Clock
+from puffinford.core.values import MachineList
+from puffinford.machines.entries import BadEntry, machine_list
+
+log = logging.getLogger(__name__)
+
+WAIT = 20_000  # how long a watch call may wait at discovery
+LATE = 1_500.0  # after its wait a call that has no answer has failed; the rules count 2 s as told
+FETCH = 4_000.0  # a call that does not wait; discovery's queue alone may take 3 s
+ANSWER_MOST = 4 << 20
+
+
+class CallFailed(Exception):
+    """A call brought no list."""
+
+
+class DiscoveryWatch:
+    """Calls discovery when the module asks; the module also paces the calls after a failure."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        known: MachineList | None,
+        clock: Clock,
+        take: Callable[[MachineList | None], None],
+    ) -> None:
+        self._address = address
+        self._version = known.version if known is not None else 0
+        self._clock = clock
+        self._take = take
+        self._watching: anyio.CancelScope | None = None
+        self._tasks: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await anyio.sleep_forever()
+
+    def subscribe(self, on: bool) -> None:
+        if self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
+        if on and self._tasks is not None:
+            self._watching = anyio.CancelScope()
+            self._tasks.start_soon(self._watch, self._watching)
+
+    def fetch(self) -> None:
+        if self._tasks is not None:
+            self._tasks.start_soon(self._once, "/v1/servers", FETCH)
+
+    async def _watch(self, scope: anyio.CancelScope) -> None:
+        """Calls on end: the rules count one watch while each next call follows within 200 ms."""
+        with scope:
+            while True:
+                path = f"/v1/servers?index={self._version}&wait={WAIT}" if self._version else "/v1/servers"
+                if not await self._once(path, WAIT + LATE if self._version else FETCH):
+                    break
+        if self._watching is scope:
+            self._watching = None
+
+    async def _once(self, path: str, wait: float) -> bool:
+        try:
+            machines = await self._call(path, wait)
+        except CallFailed as exc:
+            log.warning("discovery failed", extra={"path": path, "error": str(exc)})
+            self._take(None)
+            return False
+        self._version = machines.version
+        log.info("discovery", extra={"version": machines.version, "entries": len(machines.machines)})
+        self._take(machines)
+        return True
+
+    async def _call(self, path: str, wait: float) -> MachineList:
+        body = None
+        try:
+            with self._clock.limit(wait):
+                body = await self._get(path)
+        except (OSError, anyio.BrokenResourceError, anyio.EndOfStream, h11.ProtocolError) as exc:
+            raise CallFailed(f"{type(exc).__name__}: {exc}") from None
+        if body is None:
+            raise CallFailed("no answer in time")
+        try:
+            return machine_list(
+                json.loads(body),
+                self._clock.from_unix,
+                lambda text: log.warning("discovery entry rejected", extra={"error": text}),
+            )
+        except (BadEntry, ValueError, RecursionError) as exc:
+            raise CallFailed(f"not a list: {exc}") from None
+
+    async def _get(self, path: str) -> bytes:
+        host, port = self._address
+        connection = h11.Connection(h11.CLIENT)
+        headers = [("Host", f"{host}:{port}"), ("Accept", "application/json"), ("Connection", "close")]
+        request = h11.Request(method="GET", target=path, headers=headers)
+        async with await anyio.connect_tcp(host, port) as stream:
+            await stream.send(connection.send(request) + connection.send(h11.EndOfMessage()))
+            body = bytearray()
+            status = 0
+            while True:
+                event = connection.next_event()
+                if event is h11.NEED_DATA:
+                    try:
+                        connection.receive_data(await stream.receive())
+                    except anyio.EndOfStream:
+                        connection.receive_data(b"")
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                    if len(body) > ANSWER_MOST:
+                        raise CallFailed("the answer is too long")
+                elif isinstance(event, h11.EndOfMessage):
+                    break
+                elif isinstance(event, h11.ConnectionClosed):
+                    raise CallFailed("closed without an answer")
+        if status != 200:
+            raise CallFailed(f"status {status}")
+        return bytes(body)
--- /dev/null
+++ b/puffinford/machines/entries.py
@@ -0,0 +1,94 @@
+"""Entries of the machine list from plain named values, whatever file or service they came from."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from puffinford.core.values import Machine, MachineList
+from puffinford.interface import Server, ServerState
+
+STATES = {"active": ServerState.LIVE, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
+FRONTS = ("lines", "channels")
+
+
+class BadEntry(Exception):
+    """An entry or list in no known form; the text says what is wrong."""
+
+
+def _text(entry: Mapping[str, Any], name: str, default: str | None = None) -> str:
+    value = entry.get(name, default)
+    if not isinstance(value, str) or not value:
+        raise BadEntry(f"{name} is missing or no text")
+    return value
+
+
+def _number(entry: Mapping[str, Any], name: str, default: float) -> float:
+    value = entry.get(name, default)
+    if isinstance(value, str):
+        try:
+            value = float(value)
+        except ValueError:
+            raise BadEntry(f"{name} is no number") from None
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < math.inf:
+        raise BadEntry(f"{name} is no number of 0 or more")
+    return float(value)
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    host, sign, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        number = -1
+    if not sign or not 0 <= number <= 65535:
+        raise BadEntry(f"{text!r} is no IP:PORT")
+    return host.strip("[]"), number
+
+
+def machine(entry: object, from_unix: Callable[[float], float]) -> Machine:
+    """One entry; raises BadEntry."""
+    if not isinstance(entry, Mapping):
+        raise BadEntry("the entry is no set of named values")
+    state = _text(entry, "state", "active")
+    if state not in STATES:
+        raise BadEntry(f"state {state!r} is unknown")
+    front = _text(entry, "front", "lines")
+    if front not in FRONTS:
+        raise BadEntry(f"front {front!r} is unknown")
+    ident = _text(entry, "id")
+    gone = STATES[state] is ServerState.GONE
+    host, port = parse_address(_text(entry, "addr")) if not gone or "addr" in entry else ("", 0)
+    server = Server(
+        ident,
+        _text(entry, "zone", "-") if entry.get("zone") else "",
+        _text(entry, "kind", "-") if entry.get("kind") else "",
+        int(_number(entry, "cell", 0)),
+        STATES[state],
+        _number(entry, "weight", 1.0),
+        from_unix(_number(entry, "started_ms", 0)),
+    )
+    return Machine(server, host, port, front)
+
+
+def machine_list(
+    answer: object, from_unix: Callable[[float], float], reject: Callable[[str], None]
+) -> MachineList:
+    """A whole answer in discovery's form. A bad entry is rejected by itself; a bad frame raises BadEntry."""
+    if not isinstance(answer, dict) or not isinstance(answer.get("servers"), list):
+        raise BadEntry("servers is missing or no list")
+    version = answer.get("version")
+    if type(version) is not int:
+        raise BadEntry("version is missing or no whole number")
+    if type(answer.get("full")) is not bool:
+        raise BadEntry("full is missing or not true or false")
+    machines = []
+    for number, entry in enumerate(answer["servers"]):
+        try:
+            machines.append(machine(entry, from_unix))
+        except BadEntry as exc:
+            reject(f"entry {number}: {exc}")
+    return MachineList(version, answer["full"], machines)
