--- a/puffinford/logs.py
+++ b/puffinford/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import sys
 
