--- a/puffinford/config.py
+++ b/puffinford/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import tomllib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,6 +14,8 @@
 from puffinford.interface import Settings
 from puffinford.machines.entries import BadEntry, machine_list, parse_address
 
+CHANNELS = Path("deploy/channels.toml")
+
 
 class BadConfig(Exception):
     """The configuration cannot be used; the text says where and why."""
@@ -26,6 +29,32 @@
     seed: int
     settings: Settings
     known: MachineList | None
+    inventory: Path | None = None
+    channels: tuple[str, int] | None = None  # where the channel front listens
+
+
+def load_channels(path: Path) -> tuple[str, int] | None:
+    """Where the channel front listens; None where it is off or its default file is not there."""
+    try:
+        told = tomllib.loads(path.read_text(encoding="utf-8"))
+    except FileNotFoundError:
+        if path == CHANNELS:
+            return None
+        raise BadConfig(f"{path}: no such file") from None
+    except (OSError, ValueError) as exc:
+        raise BadConfig(f"{path}: {exc}") from None
+    enabled = told.get("enabled", False)
+    if not isinstance(enabled, bool):
+        raise BadConfig(f"{path}: enabled: not true or false")
+    if not enabled:
+        return None
+    try:
+        address = _address(told, "listen")
+    except BadConfig as exc:
+        raise BadConfig(f"{path}: {exc}") from None
+    if address is None:
+        raise BadConfig(f"{path}: listen: missing")
+    return address
 
 
 def _address(told: Mapping[str, Any], name: str) -> tuple[str, int] | None:
@@ -40,7 +69,12 @@
         raise BadConfig(f"{name}: {exc}") from None
 
 
-def load(env: Mapping[str, str], from_unix: Callable[[float], float]) -> Config:
+def load(
+    env: Mapping[str, str],
+    from_unix: Callable[[float], float],
+    inventory: Path | None = None,
+    channels: Path = CHANNELS,
+) -> Config:
     path = env.get("EDGE_CONFIG")
     if not path:
         raise BadConfig("EDGE_CONFIG names no file")
@@ -73,4 +107,8 @@
             known = machine_list(told["known"], from_unix, lambda text: None)
         except BadEntry as exc:
             raise BadConfig(f"known: {exc}") from None
-    return Config(str(told.get("name", "")), listen, _address(told, "discovery"), number, settings, known)
+    discovery = _address(told, "discovery")
+    if discovery is None and inventory is None:
+        raise BadConfig("discovery: missing, and no inventory is given")
+    name = str(told.get("name", ""))
+    return Config(name, listen, discovery, number, settings, known, inventory, load_channels(channels))
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -275,7 +275,7 @@
             log.error("unanswered", extra={"job": job.id})
             if job.claim is not None:
                 job.claim.scope.cancel()
-            job.ending = Ending(Failed("out of time"))
+            job.ending = Ending(Failed("out of time", late=True))
             job.done.set()
             self._tell(it.ClientLeft(job.id))
 
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -9,9 +10,22 @@
 from puffinford.interface import Result, Server
 
 
+class BadOpening(Exception):
+    """An opening that asks for nothing that can be served; the text says why."""
+
+
+def number(text: str | None) -> float | None:
+    """A number of 0 or more, or None."""
+    try:
+        value = float(text or "")
+    except ValueError:
+        return None
+    return value if 0 <= value < math.inf else None
+
+
 @dataclass(frozen=True, slots=True)
 class Opening:
-    """What a submitter asks for. `figures` are all its named values in their order, `wait` among them."""
+    """What a submitter asks for. `figures` are all its named values in their order, `wait` (d) among them."""
 
     job: str
     key: str
@@ -25,6 +39,29 @@
     load: float | None = None
     figures: tuple[tuple[str, str | None], ...] = ()
 
+    @classmethod
+    def from_figures(cls, job: str, key: str, figures: tuple[tuple[str, str | None], ...]) -> Opening:
+        """An opening from its named values, whichever front brought them; raises BadOpening."""
+        named = dict(reversed(figures))  # the first of a name counts
+        wait = number(named.get("d"))
+        if not named.get("c"):
+            raise BadOpening("no class")
+        if wait is None:
+            raise BadOpening("d is no number of milliseconds")
+        return cls(
+            job,
+            key,
+            named["c"] or "",
+            wait,
+            named.get("t") or None,
+            named.get("g") or None,
+            named.get("r") == "1",
+            named.get("again") == "1",
+            named.get("at") or None,
+            number(named.get("h")),
+            figures,
+        )
+
 
 class Kind(Enum):
     DATA = "data"
@@ -35,7 +72,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Message:
-    """One message on a standing connection, as it came, with its line end."""
+    """One message on a standing connection, as it came, with its line end.
+
+    Where a front tells a kind other than by a line, `data` is empty.
+    """
 
     data: bytes
     kind: Kind = Kind.DATA
@@ -57,6 +97,7 @@
 @dataclass(frozen=True, slots=True)
 class Failed:
     reason: str = "failed"
+    late: bool = False  # the submitter's time was up
 
 
 class Ended(Exception):
--- /dev/null
+++ b/puffinford/fronts/channels/__init__.py
@@ -0,0 +1,1 @@
+"""SSH-style multiplexed channels without the cryptography (docs/channels.md)."""
--- /dev/null
+++ b/puffinford/fronts/channels/server.py
@@ -0,0 +1,99 @@
+"""The server side of the channel front: one connection a machine, a channel a claim."""
+
+from __future__ import annotations
+
+import logging
+
+import anyio
+import anyio.abc
+
+from puffinford.core.clock import Clock
+from puffinford.core.values import Broken, ClaimEnded, Machine, Opening, Up
+from puffinford.fronts.channels import codec
+from puffinford.fronts.channels.leg import ChannelLeg
+from puffinford.fronts.channels.mux import Channel, Mux, Refused
+from puffinford.fronts.channels.opening import decode_refusal, encode_opening
+from puffinford.fronts.sockets import Wire, connect
+from puffinford.interface import Result
+
+log = logging.getLogger(__name__)
+
+
+class ChannelServers:
+    """`run` owns the connections; claims made before it are refused by their connections' lack."""
+
+    def __init__(self, clock: Clock, connect_timeout: float) -> None:
+        self._clock = clock
+        self._connect_timeout = connect_timeout
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._muxes: dict[tuple[str, int], Mux] = {}
+        self._locks: dict[tuple[str, int], anyio.Lock] = {}
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await anyio.sleep_forever()
+
+    async def _mux(self, machine: Machine) -> Mux:
+        """The machine's connection, opened where there is none."""
+        address = (machine.host, machine.port)
+        async with self._locks.setdefault(address, anyio.Lock()):
+            mux = self._muxes.get(address)
+            if mux is None or mux.over:
+                stream = await connect(address)
+                if stream is None or self._tasks is None:
+                    raise ClaimEnded(Result.CONNECT_FAILED)
+                mux = self._muxes[address] = Mux(Wire(stream, self._clock), self._clock, client=True)
+                self._tasks.start_soon(mux.run)
+                await mux.up.wait()
+        if mux.over:
+            raise ClaimEnded(Result.CONNECT_FAILED)
+        return mux
+
+    async def claim(self, machine: Machine, opening: Opening, wait: float) -> tuple[ChannelLeg, Up]:
+        started = self._clock.now()
+        mux = None
+        with self._clock.limit(min(wait, self._connect_timeout)):
+            mux = await self._mux(machine)
+        if mux is None:
+            raise ClaimEnded(Result.CONNECT_FAILED)
+        left = wait - (self._clock.now() - started)
+        try:
+            channel = await mux.open(encode_opening(opening, left))
+        except (Broken, Refused):
+            raise ClaimEnded(Result.CONNECT_FAILED) from None
+        standing = False
+        try:
+            with self._clock.limit(left):
+                await channel.settled.wait()
+            leg, up = self._settle(channel)
+            standing = True
+            return leg, up
+        finally:
+            # Guards against a second claim beside one given up: the server is told first.
+            if not standing:
+                mux.cancel_open(channel)
+
+    def _settle(self, channel: Channel) -> tuple[ChannelLeg, Up]:
+        if not channel.settled.is_set():
+            raise ClaimEnded(Result.TIMEOUT)
+        if channel.refused is not None:
+            raise ClaimEnded(decode_refusal(channel.refused))
+        if channel.gone:
+            raise ClaimEnded(Result.RESET if channel.sent_open else Result.CONNECT_FAILED)
+        try:
+            receipt = codec.Reader(channel.confirmation).text()
+        except codec.Malformed:
+            raise ClaimEnded(Result.ERROR) from None
+        return ChannelLeg(channel, self._clock), Up(receipt)
+
+    async def probe(self, machine: Machine, wait: float) -> Result:
+        """Whether the machine speaks: its connection stands, or comes to stand."""
+        result = Result.TIMEOUT
+        try:
+            with self._clock.limit(wait):
+                await self._mux(machine)
+                result = Result.OK
+        except ClaimEnded as exc:
+            result = exc.result
+        return result
--- a/puffinford/fronts/lines/codec.py
+++ b/puffinford/fronts/lines/codec.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass
 
-from puffinford.core.values import Busy, Failed, Kind, Message, Opening, Up
+from puffinford.core.values import BadOpening, Busy, Failed, Kind, Message, Opening, Up, number
 from puffinford.interface import Result
 
 END = b"\r\n"
@@ -14,7 +14,7 @@
 MOVE = b"MOVE" + END
 
 
-class BadLine(Exception):
+class BadLine(BadOpening):
     """A line in no known form; the text says what is wrong."""
 
 
@@ -30,24 +30,6 @@
     return line[:-2].decode("latin-1")
 
 
-def _milliseconds(text: str | None) -> float:
-    try:
-        value = float(text or "")
-    except ValueError:
-        value = math.nan
-    if not 0 <= value < math.inf:
-        raise BadLine("d is no number of milliseconds")
-    return value
-
-
-def _load(text: str | None) -> float | None:
-    try:
-        value = float(text or "")
-    except ValueError:
-        return None
-    return value if 0 <= value < math.inf else None
-
-
 def decode_first(line: bytes) -> Opening | Ping:
     """The first line of a submitter."""
     text = _text(line)
@@ -60,41 +42,13 @@
     for piece in parts[3].split(","):
         name, sign, value = piece.partition("=")
         figures.append((name, value if sign else None))
-    return opening(parts[1], parts[2], tuple(figures))
-
-
-def opening(job: str, key: str, figures: tuple[tuple[str, str | None], ...]) -> Opening:
-    """An opening from its named values, whichever front brought them."""
-    named = dict(reversed(figures))  # the first of a name counts
-    if not named.get("c"):
-        raise BadLine("no class")
-    return Opening(
-        job,
-        key,
-        named["c"] or "",
-        _milliseconds(named.get("d")),
-        named.get("t") or None,
-        named.get("g") or None,
-        named.get("r") == "1",
-        named.get("again") == "1",
-        named.get("at") or None,
-        _load(named.get("h")),
-        figures,
-    )
-
-
-def whole_milliseconds(wait: float) -> str:
-    """A wait as it is written; never longer than it is, and at least 1."""
-    return str(max(1, int(wait)))
-
-
-def figures_with_wait(opening: Opening, wait: float) -> list[tuple[str, str | None]]:
-    return [(n, whole_milliseconds(wait) if n == "d" else v) for n, v in opening.figures]
+    return Opening.from_figures(parts[1], parts[2], tuple(figures))
 
 
 def encode_opening(opening: Opening, wait: float) -> bytes:
     """The line as it came, but for `d`."""
-    pieces = [n if v is None else f"{n}={v}" for n, v in figures_with_wait(opening, wait)]
+    left = str(max(1, int(wait)))  # never longer than it is
+    pieces = [n if v is None else f"{n}={left if n == 'd' else v}" for n, v in opening.figures]
     return f"OPEN {opening.job} {opening.key} {','.join(pieces)}".encode("latin-1") + END
 
 
@@ -129,7 +83,17 @@
     if word == b"MOVE":
         return Message(line, Kind.MOVE)
     if word == b"LOAD":
-        note = _load(rest.decode("latin-1"))
+        note = number(rest.decode("latin-1"))
         if note is not None:
             return Message(line, Kind.NOTE, note)
     return Message(line)
+
+
+_LINES = {Kind.BYE: b"BYE" + END, Kind.MOVE: MOVE}
+
+
+def encode_message(message: Message) -> bytes:
+    """The line as it came; where it came by other means, the line for its kind."""
+    if message.data or message.kind is Kind.DATA:
+        return message.data
+    return _LINES.get(message.kind) or f"LOAD {message.note:g}".encode() + END
--- a/puffinford/fronts/lines/leg.py
+++ b/puffinford/fronts/lines/leg.py
@@ -28,7 +28,7 @@
         return codec.decode_message(await self.read_line())
 
     async def send(self, message: Message) -> None:
-        await self._wire.write(message.data)
+        await self._wire.write(codec.encode_message(message))
 
     async def answer(self, answer: Up | Busy | Failed) -> None:
         await self._wire.write(codec.encode_answer(answer))
--- a/puffinford/fronts/lines/server.py
+++ b/puffinford/fronts/lines/server.py
@@ -9,7 +9,7 @@
 from puffinford.core.values import Broken, ClaimEnded, Ended, Machine, Opening, Up
 from puffinford.fronts.lines import codec
 from puffinford.fronts.lines.leg import LineLeg
-from puffinford.fronts.sockets import Wire
+from puffinford.fronts.sockets import Wire, connect
 from puffinford.interface import Result
 
 
@@ -19,12 +19,9 @@
         self._connect_timeout = connect_timeout
 
     async def _connect(self, machine: Machine, wait: float) -> anyio.abc.SocketStream:
-        stream: anyio.abc.SocketStream | None = None
-        try:
-            with self._clock.limit(min(wait, self._connect_timeout)):
-                stream = await anyio.connect_tcp(machine.host, machine.port)
-        except OSError:
-            pass  # refused, unreachable, or out of descriptors: nothing was sent
+        stream = None
+        with self._clock.limit(min(wait, self._connect_timeout)):
+            stream = await connect((machine.host, machine.port))
         if stream is None:
             raise ClaimEnded(Result.CONNECT_FAILED)
         return stream
--- a/puffinford/fronts/lines/submitter.py
+++ b/puffinford/fronts/lines/submitter.py
@@ -8,7 +8,7 @@
 
 from puffinford.core.clock import Clock
 from puffinford.core.exchange import Exchange
-from puffinford.core.values import Broken, Ended, Failed
+from puffinford.core.values import BadOpening, Broken, Ended, Failed
 from puffinford.fronts.lines import codec
 from puffinford.fronts.lines.leg import LineLeg
 from puffinford.fronts.sockets import Wire
@@ -45,7 +45,7 @@
                     continue
                 await self._exchange.serve(first, leg)
                 return
-        except codec.BadLine as exc:
+        except BadOpening as exc:
             # Guards against whatever else connects: a plain failing answer, and no job.
             log.info("bad first line", extra={"error": str(exc), "line": repr(line[:80])})
             try:
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -24,6 +24,9 @@
 BACKLOG = 1024
 
 
+Handler = Callable[[anyio.abc.SocketStream], Awaitable[None]]
+
+
 class Wire:
     """A TCP connection: chunks in, whole pieces out, and both ways to end it."""
 
@@ -103,6 +106,15 @@
         return rest
 
 
+async def connect(address: tuple[str, int]) -> anyio.abc.SocketStream | None:
+    """A connection, or None where it is refused, unreachable, or out of descriptors."""
+    try:
+        return await anyio.connect_tcp(*address)
+    except OSError as exc:
+        log.info("connect failed", extra={"to": "{}:{}".format(*address), "error": str(exc)})
+        return None
+
+
 class Acceptor(Protocol):
     async def accept(self) -> anyio.abc.SocketStream: ...
 
@@ -114,7 +126,7 @@
 
 async def accept_all(
     listener: Acceptor,
-    handle: Callable[[anyio.abc.SocketStream], Awaitable[None]],
+    handle: Handler,
     clock: Clock,
 ) -> None:
     """Accept until cancelled; each connection has a task of its own, whose faults stay its own."""
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -10,10 +10,13 @@
 from puffinford.config import Config
 from puffinford.core.clock import Clock
 from puffinford.core.exchange import Exchange
+from puffinford.fronts.channels.server import ChannelServers
+from puffinford.fronts.channels.submitter import ChannelSubmitters
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.lines.submitter import LineSubmitters
-from puffinford.fronts.sockets import accept_all, bind
+from puffinford.fronts.sockets import Handler, accept_all, bind
 from puffinford.machines.discovery import DiscoveryWatch
+from puffinford.machines.inventory import InventoryFile
 
 log = logging.getLogger(__name__)
 
@@ -28,23 +31,34 @@
 
 async def serve(config: Config, clock: Clock) -> None:
     settings = config.settings
+    channel_servers = ChannelServers(clock, settings.connect_timeout)
     exchange = Exchange(
         settings,
         config.seed,
         clock,
-        {"lines": LineServers(clock, settings.connect_timeout)},
+        {"lines": LineServers(clock, settings.connect_timeout), "channels": channel_servers},
     )
-    assert config.discovery is not None
-    watch = DiscoveryWatch(config.discovery, config.known, clock, exchange.take_list)
+    source: DiscoveryWatch | InventoryFile
+    if config.inventory is not None:
+        source = InventoryFile(config.inventory, clock, exchange.take_list)
+        source.check()
+    else:
+        assert config.discovery is not None
+        source = DiscoveryWatch(config.discovery, config.known, clock, exchange.take_list)
     longest = min(DRAIN_MOST, max(cls.deadline for cls in settings.classes))
-    listeners = await bind(config.listen)
+    fronts: list[tuple[tuple[str, int], Handler]] = [(config.listen, LineSubmitters(exchange, clock).handle)]
+    if config.channels is not None:
+        fronts.append((config.channels, ChannelSubmitters(exchange, clock).handle))
+    listeners = [(listener, handle) for address, handle in fronts for listener in await bind(address)]
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(watch.run)
-            tasks.start_soon(exchange.run, watch, config.known)
-            for listener in listeners:
-                tasks.start_soon(accept_all, listener, LineSubmitters(exchange, clock).handle, clock)
-            log.info("serving", extra={"balancer": config.name, "listen": "{}:{}".format(*config.listen)})
+            tasks.start_soon(channel_servers.run)
+            tasks.start_soon(exchange.run, source, config.known)
+            tasks.start_soon(source.run)
+            for listener, handle in listeners:
+                tasks.start_soon(accept_all, listener, handle, clock)
+            for address, _ in fronts:
+                log.info("serving", extra={"balancer": config.name, "listen": f"{address[0]}:{address[1]}"})
             async for signum in signals:
                 log.info("stopping", extra={"signal": signal.Signals(signum).name})
                 if signum == signal.SIGTERM:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -4,7 +4,7 @@
 
 import socket
 import struct
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import cast
@@ -15,17 +15,24 @@
 
 from puffinford.core.clock import Clock, SettableClock
 from puffinford.core.exchange import Exchange
-from puffinford.core.values import Machine, MachineList, ServerSide
+from puffinford.core.values import Machine, MachineList, Opening
+from puffinford.fronts.channels import codec
+from puffinford.fronts.channels.opening import encode_opening
+from puffinford.fronts.channels.server import ChannelServers
+from puffinford.fronts.channels.submitter import ChannelSubmitters
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.lines.submitter import LineSubmitters
 from puffinford.fronts.sockets import accept_all
-from puffinford.interface import RequestClass, Server, ServerState, Settings
+from puffinford.interface import Effect, RequestClass, Server, ServerState, Settings
 
 Handler = Callable[[anyio.abc.SocketStream], Awaitable[None]]
 
 
 def settings(**more: object) -> Settings:
-    classes = [RequestClass("price-lookup", 2_000.0, message_aim=60.0)]
+    classes = [
+        RequestClass("price-lookup", 2_000.0, message_aim=60.0),
+        RequestClass("payment", 2_000.0, effect=Effect.UNSAFE),
+    ]
     base: dict[str, object] = {"max_retry_after": 1_500.0, "max_attempts": 4, "may_cancel": True}
     return Settings(classes, **(base | more))  # type: ignore[arg-type]
 
@@ -64,6 +71,49 @@
 Script = Callable[[Peer], Awaitable[None]]
 
 
+class ChannelPeer:
+    """A scripted end of a channel connection: whole messages, one at a time, in the order they come."""
+
+    def __init__(self, stream: anyio.abc.SocketStream) -> None:
+        self.stream = stream
+        self._packets = codec.Packets(banner=True)
+
+    async def hello(self) -> ChannelPeer:
+        await self.stream.send(codec.VERSION.encode() + b"\r\n")
+        return self
+
+    async def say(self, *messages: codec.Message) -> None:
+        await self.stream.send(b"".join(map(codec.encode, messages)))
+
+    async def next(self, *, windows: bool = False) -> codec.Message | bytes:
+        """The next message, but for window adjustments; b"FIN" or b"RST" where the connection ends."""
+        while True:
+            while (payload := self._packets.next()) is None:
+                try:
+                    self._packets.feed(await self.stream.receive())
+                except anyio.EndOfStream:
+                    return b"FIN"
+                except anyio.BrokenResourceError:
+                    return b"RST"
+            message = codec.decode(payload)
+            if windows or not isinstance(message, codec.WindowAdjust):
+                return message
+
+    async def open(self, number: int, job: str, window: int = 1_000, cls: str = "price-lookup") -> None:
+        figures = (("c", cls), ("t", "a"), ("d", "2000"), ("g", "5c"), ("h", "1.5"))
+        extra = encode_opening(Opening.from_figures(job, "7f3a", figures), 2_000.0)
+        await self.say(codec.ChannelOpen(codec.JOB, number, window, 32_768, extra))
+
+    async def confirm(self, window: int = 1_000) -> codec.ChannelOpen:
+        """Take the next open and let it stand, under the peer's own number."""
+        message = await self.next()
+        assert isinstance(message, codec.ChannelOpen)
+        await self.say(
+            codec.OpenConfirmation(message.sender, message.sender, window, 32_768, codec.string("r2"))
+        )
+        return message
+
+
 class NoSource:
     """A machine list that never changes."""
 
@@ -109,6 +159,10 @@
             self.clock.advance(100.0)
             await anyio.sleep(0.002)
 
+    async def channel_client(self) -> ChannelPeer:
+        port = await self.listen(ChannelSubmitters(self.exchange, self.clock).handle)
+        return await ChannelPeer(await anyio.connect_tcp("127.0.0.1", port)).hello()
+
     async def client(self, first: bytes | None = None) -> Peer:
         peer = Peer(await anyio.connect_tcp("127.0.0.1", self.port))
         if first is not None:
@@ -120,6 +174,21 @@
     return b"OPEN " + job.encode() + b" 7f3a " + figures
 
 
+def answering(*lines: bytes, rst: bool = False, stay: bool = False) -> Script:
+    """A server that says these lines to an opening, then ends."""
+
+    async def script(peer: Peer) -> None:
+        await peer.line()
+        for line in lines:
+            await peer.say(line)
+        if stay:
+            await peer.line()
+        if rst:
+            await peer.rst()
+
+    return script
+
+
 async def echo(peer: Peer) -> None:
     """A sound server: UP, then each line back."""
     await peer.line()
@@ -130,15 +199,15 @@
 
 
 @asynccontextmanager
-async def stage(
-    told: Settings | None = None, sides: Mapping[str, ServerSide] | None = None
-) -> AsyncIterator[Stage]:
+async def stage(told: Settings | None = None) -> AsyncIterator[Stage]:
     told = told or settings()
     clock = SettableClock()
     lines = LineServers(clock, told.connect_timeout)
-    exchange = Exchange(told, 1, clock, {"lines": lines, **(sides or {})})
+    channels = ChannelServers(clock, told.connect_timeout)
+    exchange = Exchange(told, 1, clock, {"lines": lines, "channels": channels})
     with anyio.fail_after(20):
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(channels.run)
             tasks.start_soon(exchange.run, NoSource())
             await anyio.wait_all_tasks_blocked()
             here = Stage(tasks, clock, exchange)
--- /dev/null
+++ b/tests/test_channels.py
@@ -0,0 +1,331 @@
+"""Stories of the channel front, over loopback sockets, with stand-in clients and servers."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import anyio
+import pytest
+from anyio.abc import SocketAttribute
+
+from puffinford.fronts.channels import codec
+from puffinford.fronts.channels.opening import decode_opening
+from puffinford.interface import ServerState
+from tests.stage import ChannelPeer, Peer, Stage, answering, echo, opening, settings, stage
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_a_line_client_is_served_by_a_channel_server() -> None:
+    """The whole path: opening, UP, lines both ways through small windows, BYE, the end."""
+    asked: list[codec.ChannelOpen] = []
+
+    async def script(peer: Peer) -> None:
+        server = await ChannelPeer(peer.stream).hello()
+        asked.append(await server.confirm(window=4))
+        number = asked[0].sender
+        got = b""
+        while not got.endswith(b"\r\n"):
+            data = await server.next()
+            assert isinstance(data, codec.Data) and len(data.data) <= 4
+            got += data.data
+            await server.say(codec.WindowAdjust(number, len(data.data)))
+        await server.say(codec.Data(number, got[:3]), codec.Data(number, got[3:]))
+        note = codec.ChannelRequest(number, codec.NOTE, False, codec.uint32(45))
+        bye = codec.ChannelRequest(number, codec.BYE, False)
+        await server.say(note, bye, codec.Eof(number), codec.Close(number))
+        while await server.next() != codec.Close(number):
+            pass
+
+    async with stage(settings(tells_delay=True)) as here:
+        await here.server("s-1", script, front="channels")
+        client = await here.client(opening(figures=b"c=price-lookup,t=a,d=2000,g=5c,again=1,x"))
+        assert await client.line() == b"UP r2\r\n"
+        job = decode_opening(asked[0].extra)
+        assert (job.job, job.key, job.cls, job.tenant, job.group) == ("0a", "7f3a", "price-lookup", "a", "5c")
+        assert job.wait == 1_000 and job.came_back and ("x", None) in job.figures
+        await client.say(b"M 1 hello")
+        lines = [await client.line() for _ in range(4)]
+        assert lines == [b"M 1 hello\r\n", b"LOAD 45\r\n", b"BYE\r\n", b"FIN"]
+
+
+async def test_a_channel_client_is_served_by_a_line_server() -> None:
+    first: list[bytes] = []
+
+    async def script(peer: Peer) -> None:
+        first.append(await peer.line())
+        await peer.say(b"UP r1")
+        await peer.stream.send(await peer.line() + b"MOVE\r\n")
+
+    async with stage() as here:
+        await here.server("s-1", script)
+        client = await here.channel_client()
+        await client.open(7, "0b")
+        up = await client.next()
+        assert isinstance(up, codec.OpenConfirmation) and up.recipient == 7
+        assert codec.Reader(up.extra).text() == "r1"
+        assert first == [b"OPEN 0b 7f3a c=price-lookup,t=a,d=1000,g=5c,h=1.5\r\n"]
+        await client.say(codec.Data(up.sender, b"M 1\r"), codec.Data(up.sender, b"\n"))
+        assert await client.next() == codec.Data(7, b"M 1\r\n")
+        assert await client.next() == codec.ChannelRequest(7, codec.MOVE, False)
+        assert [await client.next(), await client.next()] == [codec.Eof(7), codec.Close(7)]
+
+
+async def open_all(here: Stage, client: ChannelPeer, numbers: range, cls: str) -> None:
+    for number in numbers:
+        await client.open(number, f"{number:x}", cls=cls)
+
+
+async def test_a_server_that_dies_with_forty_channels_open() -> None:
+    """Twenty stand and twenty wait. Each channel gets one answer; only what may run twice is retried."""
+    come = anyio.Event()
+    die = anyio.Event()
+    opens: list[int] = []
+
+    async def script(peer: Peer) -> None:
+        server = await ChannelPeer(peer.stream).hello()
+        for _ in range(20):
+            opens.append((await server.confirm()).sender)
+        for _ in range(20):
+            message = await server.next()
+            assert isinstance(message, codec.ChannelOpen)
+            opens.append(message.sender)
+        come.set()
+        await die.wait()
+        await peer.rst()
+
+    async with stage() as here:
+        await here.server("s-1", script, front="channels")
+        client = await here.channel_client()
+        await open_all(here, client, range(20), "price-lookup")
+        for _ in range(20):
+            assert isinstance(await client.next(), codec.OpenConfirmation)
+        await open_all(here, client, range(20, 30), "price-lookup")
+        await open_all(here, client, range(30, 40), "payment")
+        await come.wait()
+        assert len(opens) == len(set(opens)) == 40
+        await here.server("s-2", echo)
+        die.set()
+        seen: Counter[tuple[str, int]] = Counter()
+        for _ in range(40):
+            message = await client.next()
+            assert isinstance(message, codec.Close | codec.OpenConfirmation | codec.OpenFailure)
+            seen[type(message).__name__, message.recipient] += 1
+            if isinstance(message, codec.OpenFailure):
+                assert message.reason == codec.FAILED
+        expected = [("Close", n) for n in range(20)]
+        expected += [("OpenConfirmation", n) for n in range(20, 30)]
+        expected += [("OpenFailure", n) for n in range(30, 40)]
+        assert seen == Counter(expected)
+
+
+async def test_a_drain_that_arrives_while_a_channel_is_half_written() -> None:
+    """The line is finished before MOVE, however late the submitter makes room for it."""
+    async with stage() as here:
+        await here.server("s-1", answering(b"UP r1", b"0123456789", stay=True))
+        client = await here.channel_client()
+        await client.open(3, "0c", window=4)
+        up = await client.next()
+        assert isinstance(up, codec.OpenConfirmation)
+        assert await client.next() == codec.Data(3, b"0123")
+        here.tasks.start_soon(here.exchange.drain, 0.0, 0.0)
+        while not here.exchange._leaving:
+            await anyio.sleep(0)
+        await client.say(codec.WindowAdjust(up.sender, 100))
+        assert await client.next() == codec.Data(3, b"456789\r\n")
+        assert await client.next() == codec.ChannelRequest(3, codec.MOVE, False)
+        assert [await client.next(), await client.next()] == [codec.Eof(3), codec.Close(3)]
+
+
+async def test_a_drain_of_the_server_reaches_its_submitters() -> None:
+    async def script(peer: Peer) -> None:
+        server = await ChannelPeer(peer.stream).hello()
+        number = (await server.confirm()).sender
+        move = codec.ChannelRequest(number, codec.MOVE, False)
+        await server.say(codec.Data(number, b"half "), codec.Data(number, b"done\r\n"), move)
+        await server.say(codec.Eof(number), codec.Close(number))
+        await server.next()
+
+    async with stage() as here:
+        await here.server("s-1", script, front="channels")
+        client = await here.client(opening())
+        lines = [await client.line() for _ in range(4)]
+        assert lines == [b"UP r2\r\n", b"half done\r\n", b"MOVE\r\n", b"FIN"]
+
+
+async def test_a_deadline_closes_the_channel_on_both_sides() -> None:
+    """The server is told before the next claim; an answer that comes late is closed; one final answer."""
+    told: list[object] = []
+    over = anyio.Event()
+
+    async def script(peer: Peer) -> None:
+        server = await ChannelPeer(peer.stream).hello()
+        message = await server.next()
+        assert isinstance(message, codec.ChannelOpen)
+        here.clock.advance(2_000.0)
+        told.append(await server.next())
+        await server.say(codec.OpenConfirmation(message.sender, 5, 100, 100, codec.string("late")))
+        told.append(await server.next())
+        over.set()
+
+    async with stage() as here:
+        await here.server("s-1", script, front="channels")
+        client = await here.channel_client()
+        await client.open(1, "0d")
+        answer = await client.next()
+        assert isinstance(answer, codec.OpenFailure) and answer.reason == codec.RESOURCE_SHORTAGE
+        await over.wait()
+        assert isinstance(told[0], codec.GlobalRequest) and told[0].name == codec.CANCEL
+        assert told[1] == codec.Close(5)
+
+
+@pytest.mark.parametrize(
+    ("reason", "word"),
+    [
+        (codec.RESOURCE_SHORTAGE, b"BUSY"),
+        (codec.CONNECT_FAILED, b"BUSY"),
+        (codec.PROHIBITED, b"ERR"),
+        (codec.UNKNOWN_TYPE, b"ERR"),
+        (codec.FAILED, b"ERR"),
+        (codec.TIMED_OUT, b"ERR"),
+    ],
+)
+async def test_open_failures_become_outcomes(reason: int, word: bytes) -> None:
+    """For a class that may not run twice only proof that it never ran ends in a requeue notice."""
+
+    async def script(peer: Peer) -> None:
+        server = await ChannelPeer(peer.stream).hello()
+        while isinstance(message := await server.next(), codec.ChannelOpen):
+            await server.say(codec.OpenFailure(message.sender, reason, "no"))
+
+    async with stage() as here:
+        await here.server("s-1", script, front="channels")
+        client = await here.client(opening(figures=b"c=payment,d=2000"))
+        assert (await client.line()).split()[0] == word
+
+
+@pytest.mark.parametrize(
+    ("lines", "cls", "reason", "words"),
+    [
+        ([b"BUSY"], "price-lookup", codec.RESOURCE_SHORTAGE, "retry-after="),
+        ([b"ERR x"], "payment", codec.FAILED, "failed"),
+        ([b"ERR x"], "none", codec.FAILED, "unknown class"),
+        ([], "pay ment", codec.PROHIBITED, "a space"),
+    ],
+)
+async def test_answers_become_open_failures(lines: list[bytes], cls: str, reason: int, words: str) -> None:
+    async with stage() as here:
+        await here.server("s-1", answering(*lines))
+        client = await here.channel_client()
+        await client.open(1, "0e", cls=cls)
+        answer = await client.next()
+        assert isinstance(answer, codec.OpenFailure) and answer.reason == reason
+        assert words in answer.description
+
+
+async def test_a_slow_channel_does_not_stall_its_neighbours() -> None:
+    async with stage() as here:
+        await here.server("s-1", echo)
+        client = await here.channel_client()
+        ups = []
+        for number, window in ((1, 0), (2, 1_000)):
+            await client.open(number, f"{number}", window=window)
+            ups.append(await client.next())
+        slow, quick = ups
+        assert isinstance(slow, codec.OpenConfirmation) and isinstance(quick, codec.OpenConfirmation)
+        await client.say(codec.Data(slow.sender, b"stuck\r\n" * 1_000), codec.Data(quick.sender, b"on\r\n"))
+        assert await client.next() == codec.Data(2, b"on\r\n")
+        await client.say(codec.WindowAdjust(slow.sender, 7))
+        assert await client.next() == codec.Data(1, b"stuck\r\n")
+
+
+def raw(number: int, rest: bytes = b"") -> bytes:
+    return codec.packet(bytes((number,)) + rest)
+
+
+@pytest.mark.parametrize(
+    ("bad", "reason", "why"),
+    [
+        (b"\x00\x00\x00\x05\x04" + bytes(8), codec.PROTOCOL_ERROR, "packet of 5 bytes"),
+        (b"\x7f\xff\xff\xff\x04" + bytes(8), codec.PROTOCOL_ERROR, "packet of"),
+        (b"\x00\x00\x00\x0c\x0b" + bytes(11), codec.PROTOCOL_ERROR, "padding of 11"),
+        (raw(94, codec.uint32(999) + codec.string(b"x")), codec.PROTOCOL_ERROR, "unknown channel 999"),
+        (raw(94, codec.uint32(0) + codec.uint32(9)), codec.PROTOCOL_ERROR, "message too short"),
+        (raw(96, codec.uint32(0) + b"more"), codec.PROTOCOL_ERROR, "message too long"),
+        (raw(96, codec.uint32(0)) + raw(94, codec.uint32(0) + codec.string(b"x")), 2, "data after the end"),
+        (raw(93, codec.uint32(0) + codec.uint32(0xFFFFFFFF)), codec.PROTOCOL_ERROR, "window of channel 0"),
+        (raw(91, codec.uint32(0) + bytes(12)), codec.PROTOCOL_ERROR, "answer to no open"),
+        (raw(20), codec.KEY_EXCHANGE_FAILED, "no key exchange"),
+    ],
+)
+async def test_what_breaks_the_rules_is_disconnected_and_each_open_job_answered_once(
+    bad: bytes, reason: int, why: str
+) -> None:
+    async def script(peer: Peer) -> None:
+        if b"7f3a c=price" in await peer.line():
+            await peer.say(b"UP r1")
+        else:
+            waits.set()
+        await peer.line()
+
+    waits = anyio.Event()
+    async with stage() as here:
+        await here.server("s-1", script)
+        client = await here.channel_client()
+        await client.open(1, "01")
+        assert isinstance(await client.next(), codec.OpenConfirmation)
+        await client.open(2, "02", cls="payment")
+        await waits.wait()
+        await client.stream.send(bad)
+        seen: Counter[tuple[str, int]] = Counter()
+        while not isinstance(message := await client.next(), codec.Disconnect):
+            if not isinstance(message, codec.Eof):
+                assert isinstance(message, codec.Close | codec.OpenFailure)
+                seen[type(message).__name__, message.recipient] += 1
+        assert message.reason == reason and why in message.description
+        assert seen == Counter([("Close", 1), ("OpenFailure", 2)])
+
+
+async def test_a_window_overrun_is_disconnected() -> None:
+    """The server makes no room, so nothing is taken past the first piece and no window is given back."""
+
+    async def script(peer: Peer) -> None:
+        await (await ChannelPeer(peer.stream).hello()).confirm(window=0)
+        await anyio.sleep_forever()
+
+    async with stage() as here:
+        await here.server("s-1", script, front="channels")
+        client = await here.channel_client()
+        await client.open(1, "01")
+        up = await client.next()
+        assert isinstance(up, codec.OpenConfirmation)
+        await client.say(*[codec.Data(up.sender, b"x" * 32_768)] * 4)
+        assert await client.next() == codec.Close(1)
+        last = await client.next()
+        assert isinstance(last, codec.Disconnect) and "window overrun" in last.description
+
+
+@pytest.mark.parametrize("hello", [b"GET / HTTP/1.1\r\n", b"SSH-1.5-old\r\n", b"x" * 300])
+async def test_a_peer_of_another_kind_is_disconnected(hello: bytes) -> None:
+    async with stage() as here:
+        client = await here.channel_client()
+        address = client.stream.extra(SocketAttribute.remote_address)
+        stranger = ChannelPeer(await anyio.connect_tcp(*address))
+        await stranger.stream.send(hello)
+        assert isinstance(await stranger.next(), codec.Disconnect)
+        await here.server("s-1", echo)
+        await client.say(codec.GlobalRequest("keepalive@example.com", True))
+        assert await client.next() == codec.RequestFailure()
+        await client.say(codec.ChannelOpen("session", 4, 9, 9))
+        answer = await client.next()
+        assert isinstance(answer, codec.OpenFailure) and answer.reason == codec.UNKNOWN_TYPE
+
+
+async def test_a_leaving_machine_takes_no_new_channels() -> None:
+    async with stage(settings(drain_grace=3_000.0)) as here:
+        await here.server("s-1", echo)
+        here.list_machine("s-1", 9, ServerState.DRAINING, front="channels")
+        client = await here.channel_client()
+        await client.open(1, "0f")
+        answer = await client.next()
+        assert isinstance(answer, codec.OpenFailure) and answer.reason == codec.RESOURCE_SHORTAGE
--- /dev/null
+++ b/tests/test_inventory.py
@@ -0,0 +1,85 @@
+"""The inventory file: CSV and YAML give the same entries, and bad ones are named by file and line."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import anyio
+import pytest
+
+from puffinford.core.clock import SettableClock
+from puffinford.core.values import MachineList
+from puffinford.machines.inventory import BadInventory, InventoryFile, load
+
+CSV = """id,addr,zone,front,state,weight
+s-1,127.0.0.1:81,boa,channels,,2
+s-2,nowhere,boa,lines,active,1
+s-1,127.0.0.3:81,boa,lines,active,1
+s-3,127.0.0.2:82,,,leaving,
+s-4,127.0.0.2:82,boa,lines,active,1,extra
+"""
+YAML = """gateways:
+  vars: {zone: boa, port: 81}
+  hosts:
+    s-1: {ansible_host: 127.0.0.1, front: channels, weight: 2}
+    s-2: {addr: nowhere}
+    s-9:
+      - a list
+  children:
+    old:
+      hosts:
+        s-3: {addr: "127.0.0.2:82", zone: "", state: leaving}
+        s-4: {addr: "127.0.0.2:82", started_ms: -1}
+"""
+
+
+@pytest.mark.parametrize(
+    ("name", "text", "bad"),
+    [("i.csv", CSV, [3, 4, 6]), ("i.yaml", YAML, [5, 6, 12]), ("i.yml", YAML, [5, 6, 12])],
+)
+def test_both_forms_give_the_same_entries(name: str, text: str, bad: list[int], tmp_path: Path) -> None:
+    path = tmp_path / name
+    path.write_text(text)
+    machines, rejected = load(path, float)
+    seen = [(m.server.id, m.host, m.port, m.front, m.server.state.value, m.server.weight) for m in machines]
+    assert seen == [
+        ("s-1", "127.0.0.1", 81, "channels", "live", 2.0),
+        ("s-3", "127.0.0.2", 82, "lines", "draining", 1.0),
+    ]
+    assert [text.rsplit(": ", 1)[0].split(":")[1] for text in rejected] == [str(line) for line in bad]
+    assert all(text.startswith(f"{path}:") for text in rejected)
+
+
+@pytest.mark.parametrize(
+    ("name", "text"),
+    [("i.txt", ""), ("i.csv", "name\nx\n"), ("i.yaml", "- a\n"), ("i.yaml", "a: [\n"), ("i.yaml", "\x00")],
+)
+def test_what_is_no_inventory_says_so(name: str, text: str, tmp_path: Path) -> None:
+    path = tmp_path / name
+    path.write_text(text)
+    with pytest.raises(BadInventory, match=name):
+        load(path, float)
+
+
+@pytest.mark.anyio
+async def test_a_changed_file_is_read_again_and_a_broken_one_leaves_the_last_list(tmp_path: Path) -> None:
+    path = tmp_path / "i.csv"
+    path.write_text("id,addr\ns-1,127.0.0.1:81\n")
+    clock = SettableClock()
+    lists: list[MachineList | None] = []
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(InventoryFile(path, clock, lists.append).run)
+        for text in ("", "id,addr\ns-1,127.0.0.1:81\n", "id,addr\ns-2,127.0.0.1:82\n"):
+            await anyio.wait_all_tasks_blocked()
+            path.write_text(text)
+            os.utime(path, ns=(0, len(lists) + 1))
+            clock.advance(1_000.0)
+        await anyio.wait_all_tasks_blocked()
+        tasks.cancel_scope.cancel()
+    assert [seen and [m.server.id for m in seen.machines] for seen in lists] == [
+        ["s-1"],
+        None,
+        ["s-1"],
+        ["s-2"],
+    ]
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -19,7 +19,7 @@
 from puffinford.fronts.sockets import accept_all
 from puffinford.interface import Result, Server
 from puffinford.machines.discovery import DiscoveryWatch
-from tests.stage import Peer, Script, echo, opening, settings, stage
+from tests.stage import Peer, Script, answering, echo, opening, settings, stage
 
 pytestmark = pytest.mark.anyio
 
@@ -61,17 +61,6 @@
         over.set()
 
 
-def answering(*lines: bytes, rst: bool = False) -> Script:
-    async def script(peer: Peer) -> None:
-        await peer.line()
-        for line in lines:
-            await peer.say(line)
-        if rst:
-            await peer.rst()
-
-    return script
-
-
 @pytest.mark.parametrize(
     ("script", "result"),
     [
