--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -812,7 +812,9 @@
                 strained += backend.down or backend.late_until > self._now
         # Few servers say nothing of the fleet: a short prefix can be strained by chance, and grows then.
         enough = max(PREFIX, min(STRAIN_SEEN, len(self._fleet.order) // 2))
-        return strained / known if known >= enough else 0.0
+        # Guards a small fleet against being taken for full when one server is sick and a second one
+        # carries its clients: there too it takes three.
+        return strained / max(known, STRAIN_SEEN) if known >= enough else 0.0
 
     def _watch_limit(self) -> None:
         """Lower the limit while most servers are strained, raise it slowly after.
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -456,6 +456,17 @@
     assert kinds(script.ask("again")) == ["Attempt"]
 
 
+@pytest.mark.parametrize(("sick", "kind"), [(2, "Attempt"), (3, "Refuse")])
+def test_a_small_fleet_is_full_only_with_three_servers_strained(sick: int, kind: str) -> None:
+    script = Script(settings(balancers=1), 5)
+    for n in range(40):
+        script.play(Inherited(Request(f"r{n}", "safe", 0.0), f"10.0.0.{n % 5}:80"))
+    for _ in range(2):
+        notes: list[Event] = [DelayNote(f"r{n}", f"10.0.0.{n}:80", 900.0) for n in range(sick)]
+        script.play(*notes, after=1_000.0)
+    assert [kinds(script.ask(f"new{n}")) for n in range(10)][-1] == [kind]
+
+
 def test_probes_are_paid_by_requests_and_reports_decide() -> None:
     given = settings(
         may_probe=True, report_on_probe=True, report_fields=["utilization", "x0"], probe_price=0.002
@@ -513,6 +524,16 @@
     assert len({script.open(f"r{n}", group=5) for n in range(80)}) >= 6
 
 
+def test_many_small_groups_of_one_server_do_not_fill_it() -> None:
+    given = settings(grouped=True, balancers=1)
+    groups = range(300)
+    home = Script(given, 5).open("r", group=0)
+    same = [group for group in groups if Script(given, 5).open("r", group=group) == home]
+    script = Script(given, 5)
+    homes = [script.open(f"r{group}", group=group) for group in same[:40]]
+    assert homes.count(home) <= 20  # the others follow the bound
+
+
 # Settings
 
 
