Answer an open that is served before it stands, and judge silence by what was last heard

Seen on rereading: a server that says BYE before UP left a channel's open unanswered (leg.py sent a request on a channel that was never confirmed); a server that answers fewer lines than it gets would have been taken for silent after 5 s (exchange.py counted from the oldest line alone); a channel could pile up requests, which no window counts.

--- a/puffinford/cli.py
+++ b/puffinford/cli.py
@@ -64,8 +64,8 @@
     try:
         if args.command == "inventory":
             return _inventory(args.file, clock)
-        config = load(os.environ, clock.from_unix, args.inventory, args.channels)
         logs.set_up(args.log_level)
+        config = load(os.environ, clock.from_unix, args.inventory, args.channels)
         anyio.run(serve, config, clock)
     except (BadConfig, inventory.BadInventory, OSError) as exc:
         print(f"puffinford: {exc}", file=sys.stderr)
--- a/puffinford/config.py
+++ b/puffinford/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import tomllib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -14,6 +15,8 @@
 from puffinford.interface import Settings
 from puffinford.machines.entries import BadEntry, machine_list, parse_address
 
+log = logging.getLogger(__name__)
+
 CHANNELS = Path("deploy/channels.toml")
 
 
@@ -33,6 +36,10 @@
     channels: tuple[str, int] | None = None  # where the channel front listens
 
 
+def _reject(text: str) -> None:
+    log.warning("known entry rejected", extra={"error": text})
+
+
 def load_channels(path: Path) -> tuple[str, int] | None:
     """Where the channel front listens; None where it is off or its default file is not there."""
     try:
@@ -104,7 +111,11 @@
     known = None
     if told.get("known") is not None:
         try:
-            known = machine_list(told["known"], from_unix, lambda text: None)
+            known = machine_list(
+                told["known"],
+                from_unix,
+                lambda text: log.warning("known entry rejected", extra={"error": text}),
+            )
         except BadEntry as exc:
             raise BadConfig(f"known: {exc}") from None
     discovery = _address(told, "discovery")
--- a/puffinford/core/delays.py
+++ b/puffinford/core/delays.py
@@ -10,22 +10,33 @@
 class Unanswered:
     """The lines of one connection that wait for an answer."""
 
-    __slots__ = ("_sent",)
+    __slots__ = ("_heard", "_sent")
 
     def __init__(self) -> None:
-        self._sent: deque[float] = deque()
+        # Guards against a server that answers fewer lines than it gets: only the latest can matter.
+        self._sent: deque[float] = deque(maxlen=64)
+        self._heard = 0.0
 
     def sent(self, now: float) -> None:
         self._sent.append(now)
 
+    def heard(self, now: float) -> None:
+        """Something came, if only a note."""
+        self._heard = now
+
     def answered(self, now: float) -> float | None:
         """The delay of the oldest line, if one waits."""
+        self._heard = now
         return now - self._sent.popleft() if self._sent else None
 
     def age(self, now: float) -> float:
         """How long the oldest line has waited; 0 where none does."""
         return now - self._sent[0] if self._sent else 0.0
 
+    def silence(self, now: float) -> float:
+        """How long nothing has come although a line waits; 0 where none does."""
+        return now - max(self._sent[0], self._heard) if self._sent else 0.0
+
 
 class DelayMeter:
     """Makes at most one note a server and round, as the simulator's note 2.
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -492,6 +492,7 @@
             while True:
                 message = await leg.receive()
                 if message.kind is Kind.NOTE:
+                    claim.unanswered.heard(self._clock.now())
                     self._note(job, ident, message.note)
                 elif (delay := claim.unanswered.answered(self._clock.now())) is not None:
                     self._meter.sample(ident, delay)
@@ -538,11 +539,11 @@
             assert job.claim is not None
             ident = job.claim.machine.server.id
             carriers.setdefault(ident, job.id)
-            age = job.claim.unanswered.age(now)
-            waiting.append((ident, age))
-            if age > SILENT:
+            waiting.append((ident, job.claim.unanswered.age(now)))
+            silence = job.claim.unanswered.silence(now)
+            if silence > SILENT:
                 # Guards against a server that vanished: its connections stay open and quiet.
-                log.warning("silent", extra={"job": job.id, "server": ident, "ms": round(age)})
+                log.warning("silent", extra={"job": job.id, "server": ident, "ms": round(silence)})
                 self._close(job, Ending(move=True), it.Result.RESET)
         for ident, delay in self._meter.round(waiting):
             if ident in carriers:
--- a/puffinford/fronts/channels/leg.py
+++ b/puffinford/fronts/channels/leg.py
@@ -39,6 +39,8 @@
         return Message(line)
 
     async def send(self, message: Message) -> None:
+        if not self._channel.open:
+            raise Broken("channel not open")  # served to its end before it stood: the open is refused
         if message.kind is Kind.DATA:
             await self._channel.send(message.data)
         else:
@@ -70,6 +72,7 @@
         """The rest of what was sent, EOF, CLOSE, and a moment for the peer's CLOSE."""
         channel = self._channel
         if not channel.open:
+            await self.abort()
             return
         with self._clock.limit(LINGER), contextlib.suppress(Broken):
             await self.end_sending()
--- a/puffinford/fronts/channels/mux.py
+++ b/puffinford/fronts/channels/mux.py
@@ -23,7 +23,8 @@
 
 WINDOW = 65_536  # bytes that a peer may send on a channel before they are taken
 WINDOW_MOST = 0xFFFFFFFF
-CHANNELS_MOST = 512  # open channels of one connection; each may hold a window of bytes
+CHANNELS_MOST = 256  # open channels of one connection; each may hold a window of bytes
+ITEMS_MOST = 4_096  # pieces and requests that a channel may hold untaken
 HELLO = 10_000.0  # a peer that has sent no version line by then is ended
 GOODBYE = 500.0  # for the last packets of a connection
 
@@ -163,6 +164,9 @@
         self._packet_most = min(message.packet_most, codec.PAYLOAD_MOST)
 
     def took(self, message: codec.Message) -> None:
+        if len(self._in) >= ITEMS_MOST:
+            # Guards the memory limit against pieces of a byte, and requests, which no window counts.
+            raise codec.Malformed(f"too many pieces untaken on channel {self.local}")
         match message:
             case codec.Data(data=data) | codec.ExtendedData(data=data):
                 if len(data) > self._window_in:
@@ -356,7 +360,9 @@
         if self._on_open is None or message.kind != codec.JOB:
             self.post(codec.OpenFailure(sender, codec.UNKNOWN_TYPE, f"unknown type {message.kind[:60]}"))
         elif len(self._channels) >= CHANNELS_MOST:
-            self.post(codec.OpenFailure(sender, codec.RESOURCE_SHORTAGE, "too many channels"))
+            self.post(
+                codec.OpenFailure(sender, codec.RESOURCE_SHORTAGE, "too many channels; retry-after=1000")
+            )
         else:
             channel = self._new()
             channel.opened(message)
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -13,6 +13,7 @@
 import pytest
 
 from puffinford.core.clock import Clock, SettableClock
+from puffinford.core.delays import Unanswered
 from puffinford.core.values import ClaimEnded, Machine, MachineList, Opening
 from puffinford.fronts.lines import codec
 from puffinford.fronts.lines.server import LineServers
@@ -202,6 +203,15 @@
         assert await client.line() == b"FIN"
 
 
+async def test_a_server_that_answers_fewer_lines_than_it_gets_is_not_silent() -> None:
+    waiting = Unanswered()
+    for now in range(0, 30_000, 2_000):
+        waiting.sent(now)
+        waiting.sent(now)
+        assert waiting.answered(now + 10) is not None
+        assert waiting.silence(now + 2_000) < 2_000
+
+
 async def test_a_drain_moves_every_connection_and_serves_arrivals_meanwhile() -> None:
     async with stage() as here:
         await here.server("s-1", echo)
