Test the program as it is started: both fronts, the inventory, SIGTERM to the last client

The log now tells the address that each front really has, so that port 0 can be used, and says 'drained' once no connection stands. The configuration cases moved to the same file.

--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -119,9 +119,14 @@
     async def accept(self) -> anyio.abc.SocketStream: ...
 
 
-async def bind(address: tuple[str, int]) -> list[Acceptor]:
+def local_address(listener: anyio.abc.SocketListener) -> str:
+    address = listener.extra(SocketAttribute.local_address)
+    return f"{address[0]}:{address[1]}"
+
+
+async def bind(address: tuple[str, int]) -> list[anyio.abc.SocketListener]:
     multi = await anyio.create_tcp_listener(local_host=address[0], local_port=address[1], backlog=BACKLOG)
-    return [cast(Acceptor, listener) for listener in multi.listeners]
+    return [cast(anyio.abc.SocketListener, listener) for listener in multi.listeners]
 
 
 async def accept_all(
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -14,7 +14,7 @@
 from puffinford.fronts.channels.submitter import ChannelSubmitters
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.lines.submitter import LineSubmitters
-from puffinford.fronts.sockets import Handler, accept_all, bind
+from puffinford.fronts.sockets import Handler, accept_all, bind, local_address
 from puffinford.machines.discovery import DiscoveryWatch
 from puffinford.machines.inventory import InventoryFile
 
@@ -57,12 +57,13 @@
             tasks.start_soon(source.run)
             for listener, handle in listeners:
                 tasks.start_soon(accept_all, listener, handle, clock)
-            for address, _ in fronts:
-                log.info("serving", extra={"balancer": config.name, "listen": f"{address[0]}:{address[1]}"})
+            for listener, _ in listeners:
+                log.info("serving", extra={"balancer": config.name, "listen": local_address(listener)})
             async for signum in signals:
                 log.info("stopping", extra={"signal": signal.Signals(signum).name})
                 if signum == signal.SIGTERM:
                     await exchange.drain(DRAIN_FROM, longest + KILL_AFTER - DRAIN_FROM - DRAIN_SPARE)
+                    log.info("drained")
                     with clock.limit(STAY):
                         async for _ in signals:
                             break
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -3,10 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
-import subprocess
-import sys
-from pathlib import Path
 
 import anyio
 import anyio.abc
@@ -303,21 +299,3 @@
             await done.wait()
         tasks.cancel_scope.cancel()
     assert listener.tries == 2
-
-
-@pytest.mark.parametrize(
-    "told",
-    [
-        "not json",
-        "[]",
-        '{"listen": "nowhere"}',
-        '{"listen": "127.0.0.1:0", "settings": {"classes": []}}',
-        '{"listen": "127.0.0.1:0", "settings": {"classes": [{"name": 3}]}}',
-    ],
-)
-def test_bad_configuration_is_one_line_and_exit_2(told: str, tmp_path: Path) -> None:
-    (tmp_path / "config.json").write_text(told)
-    env = {**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json")}
-    done = subprocess.run([sys.executable, "-m", "puffinford"], env=env, capture_output=True, timeout=30)
-    assert done.returncode == 2
-    assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith(b"puffinford: ")
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,74 @@
+"""The program as it is started: configuration, both fronts, the inventory, SIGTERM."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import anyio
+import pytest
+
+from puffinford.fronts.channels import codec
+from tests.stage import ChannelPeer, Peer, answering, opening, stage
+
+FACTS = {"classes": [{"name": "price-lookup", "give_up": 400.0, "repeat": "idempotent"}]}
+
+
+@pytest.mark.anyio
+async def test_the_program_serves_both_fronts_and_moves_its_clients_at_sigterm(tmp_path: Path) -> None:
+    (tmp_path / "channels.toml").write_text('enabled = true\nlisten = "127.0.0.1:0"\n')
+    (tmp_path / "config.json").write_text(
+        json.dumps({"name": "n1", "listen": "127.0.0.1:0", "seed": "0a", "settings": FACTS})
+    )
+    command = [sys.executable, "-m", "puffinford", "serve", "--inventory", str(tmp_path / "machines.csv")]
+    command += ["--channels", str(tmp_path / "channels.toml")]
+    env = {"PATH": os.environ["PATH"], "EDGE_CONFIG": str(tmp_path / "config.json")}
+    async with stage() as here:
+        port = await here.listen(lambda stream: answering(b"UP r1", stay=True)(Peer(stream)))
+        (tmp_path / "machines.csv").write_text(f"id,addr\ns-1,127.0.0.1:{port}\n")
+        async with await anyio.open_process(command, env=env, stderr=subprocess.PIPE) as process:
+            assert process.stderr is not None
+            log = b""
+            while len(ports := re.findall(rb"event=serving.*listen=127.0.0.1:(\d+)\n", log)) < 2:
+                log += await process.stderr.receive()
+            line = Peer(await anyio.connect_tcp("127.0.0.1", int(ports[0])))
+            await line.say(opening())
+            assert await line.line() == b"UP r1\r\n"
+            channel = ChannelPeer(await anyio.connect_tcp("127.0.0.1", int(ports[1])))
+            await (await channel.hello()).open(1, "0b")
+            assert isinstance(await channel.next(), codec.OpenConfirmation)
+            process.send_signal(signal.SIGTERM)
+            assert [await line.line(), await line.line()] == [b"MOVE\r\n", b"FIN"]
+            assert await channel.next() == codec.ChannelRequest(1, codec.MOVE, False)
+            await line.fin()
+            await channel.stream.aclose()
+            while b"event=drained" not in log:
+                log += await process.stderr.receive()
+            process.send_signal(signal.SIGINT)
+            assert await process.wait() == 0
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        "not json",
+        json.dumps({"listen": "127.0.0.1:0", "settings": FACTS}),
+        json.dumps({"listen": "127.0.0.1:0", "settings": FACTS, "discovery": "a:1"}),
+        json.dumps({"listen": "127.0.0.1:0", "settings": FACTS, "known": 5}),
+        "[]",
+        '{"listen": "nowhere"}',
+        '{"listen": "127.0.0.1:0", "settings": {"classes": []}}',
+        '{"listen": "127.0.0.1:0", "settings": {"classes": [{"name": 3}]}}',
+    ],
+)
+def test_bad_configuration_is_one_line_and_exit_2(told: str, tmp_path: Path) -> None:
+    (tmp_path / "config.json").write_text(told)
+    env = {**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json")}
+    done = subprocess.run([sys.executable, "-m", "puffinford"], env=env, capture_output=True, timeout=30)
+    assert done.returncode == 2
+    assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith(b"puffinford: ")
