Answer the job whose side fails, and tell the module that it is gone

Seen on rereading exchange.py: an exception in a side ended the job's tasks with no answer to the submitter, and the module went on counting its connection. The job is now failed, or broken where it stood, and the module told; a test raises in a server side and counts the load that is left. Also tested: channel messages come out as they went in however the stream is cut.

--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -247,6 +247,12 @@
                     self._tell(self._request(job))
                 await job.done.wait()
                 tasks.cancel_scope.cancel()
+        except Exception:
+            # Guards the one final answer, and the module's counts, against a fault in a side.
+            log.exception("job failed", extra={"job": job.id})
+            if job.ending is None:
+                job.ending = Ending(broken=True) if job.up.is_set() else Ending(Failed())
+                self._tell(it.ClientLeft(job.id))
         finally:
             del self._jobs[job.id]
         await self._end_legs(job)
@@ -466,7 +472,6 @@
             job.claim = None
             log.info("claim ended", extra={"job": job.id, "server": ident, "result": ended.result.value})
             if ended.result not in (it.Result.FULL, it.Result.CONNECT_FAILED):
-                left = 0.0
                 self._finish(job.id, Ending(Failed("cannot be resumed")))
                 return
             await self._clock.sleep(AT_RETRY * (0.5 + self._rng.random()))
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -240,6 +240,33 @@
         assert await client.next() == codec.Data(1, b"stuck\r\n")
 
 
+MESSAGES: list[codec.Message] = [
+    codec.Disconnect(2, "why", "en"),
+    codec.GlobalRequest("a@b.example", True, b"more"),
+    codec.ChannelOpen(codec.JOB, 1, 2, 3, b"\x00"),
+    codec.OpenConfirmation(1, 2, 3, 0xFFFFFFFF, b"r"),
+    codec.OpenFailure(9, codec.TIMED_OUT, "late"),
+    codec.WindowAdjust(1, 0xFFFFFFFF),
+    codec.Data(1, b"x" * 300),
+    codec.ExtendedData(1, 1, b""),
+    codec.ChannelRequest(1, codec.NOTE, False, codec.uint32(7)),
+    codec.Eof(1),
+    codec.Close(1),
+]
+
+
+@pytest.mark.parametrize("step", [1, 7, 10_000])
+def test_messages_come_out_as_they_went_in_however_the_stream_is_cut(step: int) -> None:
+    packets = codec.Packets(banner=True)
+    stream = b"welcome\r\n" + codec.VERSION.encode() + b"\r\n" + b"".join(map(codec.encode, MESSAGES))
+    seen = []
+    for at in range(0, len(stream), step):
+        packets.feed(stream[at : at + step])
+        while (payload := packets.next()) is not None:
+            seen.append(codec.decode(payload))
+    assert seen == MESSAGES and packets.version == codec.VERSION
+
+
 def raw(number: int, rest: bytes = b"") -> bytes:
     return codec.packet(bytes((number,)) + rest)
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+from types import SimpleNamespace
+from typing import cast
 
 import anyio
 import anyio.abc
@@ -10,7 +12,7 @@
 
 from puffinford.core.clock import Clock, SettableClock
 from puffinford.core.delays import Unanswered
-from puffinford.core.values import ClaimEnded, Machine, MachineList, Opening
+from puffinford.core.values import ClaimEnded, Machine, MachineList, Opening, ServerSide
 from puffinford.fronts.lines import codec
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.sockets import accept_all
@@ -148,6 +150,24 @@
         assert most == 1
 
 
+async def test_a_fault_in_a_side_is_one_failed_job() -> None:
+    async def broken(*given: object) -> None:
+        raise RuntimeError("a fault")
+
+    async with stage() as here:
+        await here.server("s-1", echo)
+        client = await here.client(opening("01"))
+        assert await client.line() == b"UP r1\r\n"
+        whole = here.exchange._sides
+        here.exchange._sides = {"lines": cast(ServerSide, SimpleNamespace(claim=broken))}
+        bad = await here.client(opening("02"))
+        assert [await bad.line(), await bad.line()] == [b"ERR failed\r\n", b"FIN"]
+        here.exchange._sides = whole
+        assert here.exchange._balancer._load == 1.0
+        await client.say(b"on")
+        assert await client.line() == b"on\r\n"
+
+
 async def test_a_connection_that_stood_before_goes_to_its_own_server() -> None:
     async with stage() as here:
         for ident in ("s-1", "s-2", "s-3"):
