--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -48,7 +48,6 @@
 
 PREFIX = 3  # entries of the working set where balancers far outnumber servers
 COVER = 4  # balancers that should have each server in their working set, so that none hangs on few
-GROUP_BOUND = 2.0  # times the mean of own connections over size, past which a group spreads on
 GROUP_PRIOR = 20  # connections that a group's part is judged against before enough were seen
 RETRY_FIRST = 500.0  # first wait before a trial; about a client's patience, short against a restart
 RETRY_MOST = 8_000.0  # longest wait before a trial; a restart takes seconds
@@ -651,39 +650,26 @@
         size = len(common)
         if not size:
             return common
-        start = int(mixed(group) * size)
-        order = common[start:] + common[:start]
         mine = self._groups.get(group, 0) + 1
         part = mine / (len(self._flows) + GROUP_PRIOR)
         want = max(1, min(size, round(part * size)))
-        most = GROUP_BOUND * self._mean_weight()
+        start = int(mixed(group) * size)
         chosen: list[Backend] = []
-        for backend in order:
+        for step in range(size):
+            backend = common[(start + step) % size]
             if self._usable(backend):
                 chosen.append(backend)
-                # Guards against a burst of returning clients whose groups all start at one server:
-                # past its fair part the group's prefix grows by the next entry.
-                if len(chosen) >= want and self._weight(backend) <= most:
+                if len(chosen) >= want:
                     break
         first = self._settings.me * len(chosen) // self._settings.balancers
         return chosen[first:] + chosen[:first]
 
-    def _mean_weight(self) -> float:
-        """Own open connections over the size of all reachable servers."""
-        size = load = 0.0
-        for backend in self._fleet.order:
-            if not backend.down:
-                load += backend.load
-                size += self._size(backend)
-        return (load + 1.0) / size if size else 0.0
-
-    def _size(self, backend: Backend) -> float:
-        told = backend.size if self._settings.sized and backend.size > 0 else 1.0
-        return told * self._warmth(backend)
-
     def _weight(self, backend: Backend) -> float:
         """Own open connections, by their load and the server's size where these are told."""
-        return backend.load / self._size(backend)
+        size = self._warmth(backend)
+        if self._settings.sized and backend.size > 0:
+            size *= backend.size
+        return backend.load / size
 
     def _pick(self, flow: Flow) -> Backend | None:
         now = self._now
