Reload the configuration on SIGHUP, whole or not at all

Found on the way: a submitter's FIN that a server answers with its own was told to the module as RESET (exchange._relay), which marks a sound server unreachable. It is CANCELLED now. A connection that has sent no line is ended after 2 s in place of 10.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -211,6 +211,10 @@
         self._failures = 0
         self._now = 0.0
 
+    def configure(self, settings: Settings) -> None:
+        self._settings = settings
+        self._shuffle()
+
     def take(self, event: ServerList, now: float) -> bool:
         """Take in a list; tells whether the order has changed."""
         self._now = now
@@ -294,9 +298,7 @@
     """One balancer: `handle` takes the events of a moment and returns the actions."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self._settings = settings
         self._rng = random.Random(seed)
-        self._classes = {cls.name: cls for cls in settings.classes}
         self._timers = Timers()
         self._actions: list[Action] = []
         self._fleet = Fleet(settings, self._rng, self._timers, self._do)
@@ -317,15 +319,9 @@
         self._failed = False
         self._failed_tries = 0
         self._next_trial = 0.0
-        self._shortest_aim = min((c.message_aim for c in settings.classes if c.message_aim > 0), default=0.0)
-        # Probes pay where they tell the load: each request allows as many as cost PROBE_SPEND.
-        fields = settings.report_fields
-        self._used_field = next((fields.index(name) for name in USED_FIELDS if name in fields), -1)
         self._probe_credit = 0.0
-        self._probes_each = 0.0
-        if settings.may_probe and settings.report_on_probe and self._used_field >= 0:
-            self._probes_each = PROBE_SPEND / max(settings.probe_price, PROBE_SPEND / 10)
-            self._timers.at(0.0, self._probe_round)
+        self._probing = False  # a round of probes is due
+        self._take_settings(settings)
         self._handlers: dict[type, Callable[..., None]] = {
             Request: self._on_request,
             Established: self._on_established,
@@ -340,6 +336,26 @@
             PeerMessage: self._on_peer,
         }
 
+    def _take_settings(self, settings: Settings) -> None:
+        self._settings = settings
+        self._classes = {cls.name: cls for cls in settings.classes}
+        self._shortest_aim = min((c.message_aim for c in settings.classes if c.message_aim > 0), default=0.0)
+        # Probes pay where they tell the load: each request allows as many as cost PROBE_SPEND.
+        fields = settings.report_fields
+        self._used_field = next((fields.index(name) for name in USED_FIELDS if name in fields), -1)
+        self._probes_each = 0.0
+        if settings.may_probe and settings.report_on_probe and self._used_field >= 0:
+            self._probes_each = PROBE_SPEND / max(settings.probe_price, PROBE_SPEND / 10)
+            if not self._probing:
+                self._probing = True
+                self._timers.at(0.0, self._probe_round)
+
+    def configure(self, settings: Settings) -> None:
+        """Go on under other settings. What is known of servers stays, and so do the connections."""
+        self._take_settings(settings)
+        self._fleet.configure(settings)
+        self._set_until = -1.0
+
     def handle(self, now: float, events: list[Event]) -> list[Action]:
         self._now = now
         self._actions = []
@@ -521,6 +537,9 @@
 
     def _probe_round(self) -> None:
         """Probe the entries of the working set that were heard of longest ago, as far as requests paid."""
+        if not self._probes_each:
+            self._probing = False
+            return
         self._timers.at(self._now + PROBE_EVERY * (0.5 + self._rng.random()), self._probe_round)
         entries = sorted(self._working_set(), key=attrgetter("probed_at"))
         self._probe_credit = min(self._probe_credit, float(len(entries)))
--- a/puffinford/cli.py
+++ b/puffinford/cli.py
@@ -4,8 +4,10 @@
 
 import argparse
 import os
+import signal
 import sys
 from collections.abc import Sequence
+from functools import partial
 from importlib import metadata
 from pathlib import Path
 
@@ -65,8 +67,10 @@
         if args.command == "inventory":
             return _inventory(args.file, clock)
         logs.set_up(args.log_level)
-        config = load(os.environ, clock.from_unix, args.inventory, args.channels)
-        anyio.run(serve, config, clock)
+        # Guards against a reload asked for before it can be obeyed: by default the signal would end us.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        again = partial(load, os.environ, clock.from_unix, args.inventory, args.channels)
+        anyio.run(serve, again(), clock, partial(again, again=True))
     except (BadConfig, inventory.BadInventory, OSError) as exc:
         print(f"puffinford: {exc}", file=sys.stderr)
         return 2
--- a/puffinford/config.py
+++ b/puffinford/config.py
@@ -81,7 +81,10 @@
     from_unix: Callable[[float], float],
     inventory: Path | None = None,
     channels: Path = CHANNELS,
+    *,
+    again: bool = False,
 ) -> Config:
+    """The configuration; `again` when it is read anew: the file is newer than the environment then."""
     path = env.get("EDGE_CONFIG")
     if not path:
         raise BadConfig("EDGE_CONFIG names no file")
@@ -92,7 +95,8 @@
     if not isinstance(told, dict):
         raise BadConfig(f"{path}: not an object")
     for name in ("name", "listen", "discovery"):
-        if env.get(f"EDGE_{name.upper()}"):
+        # Guards a reload against the address that the process was started with: the file has moved on.
+        if env.get(f"EDGE_{name.upper()}") and not (again and name in told):
             told[name] = env[f"EDGE_{name.upper()}"]
     listen = _address(told, "listen")
     if listen is None:
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -72,7 +72,7 @@
         self.claims = 0
         self.up = anyio.Event()
         self.done = anyio.Event()
-        self.answered = False
+        self.left = False  # the submitter has ended its side
         self.ending: Ending | None = None
 
     @property
@@ -105,19 +105,15 @@
         clock: Clock,
         sides: Mapping[str, ServerSide],
     ) -> None:
-        self._settings = settings
         self._clock = clock
         self._sides = sides
         self._balancer = Balancer(settings, seed)
+        self._take_settings(settings)
         self._rng = random.Random(seed ^ 0x5EED)
-        self._classes = {cls.name for cls in settings.classes}
         self._machines: dict[str, Machine] = {}
         self._jobs: dict[str, Job] = {}
         self._inbox: list[it.Event] = []
         self._telling = False
-        self._meter = DelayMeter(
-            min((c.message_aim for c in settings.classes if c.message_aim > 0), default=0.0)
-        )
         self._source: MachineSource | None = None
         self._tasks: anyio.abc.TaskGroup
         self._leaving = False
@@ -135,6 +131,19 @@
                 await self._clock.sleep(ROUND)
                 self._round()
 
+    def _take_settings(self, settings: it.Settings) -> None:
+        self._settings = settings
+        self._classes = {cls.name for cls in settings.classes}
+        self._meter = DelayMeter(
+            min((c.message_aim for c in settings.classes if c.message_aim > 0), default=0.0)
+        )
+
+    def configure(self, settings: it.Settings) -> None:
+        """Go on under other settings; jobs and all that is known of the servers stay."""
+        if settings != self._settings:
+            self._take_settings(settings)
+            self._balancer.configure(settings)
+
     # The machine list
 
     def take_list(self, machines: MachineList | None) -> None:
@@ -377,6 +386,7 @@
                 job.done.set()
             return
         if not broken and job.claim is not None and job.claim.leg is not None:
+            job.left = True
             try:
                 await job.claim.leg.end_sending()
                 await self._clock.sleep(HALF_CLOSED)
@@ -514,7 +524,8 @@
             broken = True
         if last is Kind.BYE and not broken:
             result = it.Result.OK
-        elif last is Kind.MOVE and not broken:
+        elif (last is Kind.MOVE or job.left) and not broken:
+            # Guards a sound server against being taken for failed: it ended because its submitter had.
             result = it.Result.CANCELLED
         else:
             result = it.Result.RESET
--- a/puffinford/fronts/channels/server.py
+++ b/puffinford/fronts/channels/server.py
@@ -24,7 +24,7 @@
 
     def __init__(self, clock: Clock, connect_timeout: float) -> None:
         self._clock = clock
-        self._connect_timeout = connect_timeout
+        self.connect_timeout = connect_timeout
         self._tasks: anyio.abc.TaskGroup | None = None
         self._muxes: dict[tuple[str, int], Mux] = {}
         self._locks: dict[tuple[str, int], anyio.Lock] = {}
@@ -53,7 +53,7 @@
     async def claim(self, machine: Machine, opening: Opening, wait: float) -> tuple[ChannelLeg, Up]:
         started = self._clock.now()
         mux = None
-        with self._clock.limit(min(wait, self._connect_timeout)):
+        with self._clock.limit(min(wait, self.connect_timeout)):
             mux = await self._mux(machine)
         if mux is None:
             raise ClaimEnded(Result.CONNECT_FAILED)
--- a/puffinford/fronts/lines/server.py
+++ b/puffinford/fronts/lines/server.py
@@ -16,11 +16,11 @@
 class LineServers:
     def __init__(self, clock: Clock, connect_timeout: float) -> None:
         self._clock = clock
-        self._connect_timeout = connect_timeout
+        self.connect_timeout = connect_timeout
 
     async def _connect(self, machine: Machine, wait: float) -> anyio.abc.SocketStream:
         stream = None
-        with self._clock.limit(min(wait, self._connect_timeout)):
+        with self._clock.limit(min(wait, self.connect_timeout)):
             stream = await connect((machine.host, machine.port))
         if stream is None:
             raise ClaimEnded(Result.CONNECT_FAILED)
--- a/puffinford/fronts/lines/submitter.py
+++ b/puffinford/fronts/lines/submitter.py
@@ -15,7 +15,7 @@
 
 log = logging.getLogger(__name__)
 
-FIRST_LINE = 10_000.0  # a connection that has sent no whole line by then is ended
+FIRST_LINE = 2_000.0  # a connection that has sent no whole line by then is ended; 3 s are allowed
 PINGS_IDLE = 60_000.0  # one that has sent PING may stay this long for the next
 
 
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -118,6 +118,8 @@
 class Acceptor(Protocol):
     async def accept(self) -> anyio.abc.SocketStream: ...
 
+    async def aclose(self) -> None: ...
+
 
 def local_address(listener: anyio.abc.SocketListener) -> str:
     address = listener.extra(SocketAttribute.local_address)
@@ -133,8 +135,13 @@
     listener: Acceptor,
     handle: Handler,
     clock: Clock,
+    tasks: anyio.abc.TaskGroup,
+    scope: anyio.CancelScope,
 ) -> None:
-    """Accept until cancelled; each connection has a task of its own, whose faults stay its own."""
+    """Accept until `scope` is cancelled, then listen no more; what was accepted goes on in `tasks`.
+
+    Each connection has a task of its own, whose faults stay its own.
+    """
 
     async def guarded(stream: anyio.abc.SocketStream) -> None:
         try:
@@ -144,7 +151,7 @@
         finally:
             await anyio.aclose_forcefully(stream)
 
-    async with anyio.create_task_group() as tasks:
+    with scope:
         while True:
             try:
                 stream = await listener.accept()
@@ -155,3 +162,4 @@
                 await clock.sleep(ACCEPT_RETRY)
                 continue
             tasks.start_soon(guarded, stream)
+    await listener.aclose()
--- a/puffinford/machines/discovery.py
+++ b/puffinford/machines/discovery.py
@@ -18,6 +18,8 @@
 
 WAIT = 20_000  # how long a watch call may wait at discovery
 LATE = 1_500.0  # after its wait a call that has no answer has failed; the rules count 2 s as told
+MOVED_FOR = 4_000.0  # after a move its news counts as told; until then a failed call is repeated soon
+MOVED_RETRY = 250.0
 FETCH = 4_000.0  # a call that does not wait; discovery's queue alone may take 3 s
 ANSWER_MOST = 4 << 20
 
@@ -35,27 +37,52 @@
         known: MachineList | None,
         clock: Clock,
         take: Callable[[MachineList | None], None],
+        unprompted: bool = False,
     ) -> None:
         self._address = address
         self._version = known.version if known is not None else None  # 0 is a version too
         self._clock = clock
         self._take = take
+        self._unprompted = unprompted  # the module takes changes for told without asking
         self._watching: anyio.CancelScope | None = None
+        self._moved_at = float("-inf")
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            if self._unprompted:
+                self.subscribe(True)
             await anyio.sleep_forever()
 
     def subscribe(self, on: bool) -> None:
-        if self._watching is not None:
-            self._watching.cancel()
-            self._watching = None
+        if on and self._watching is not None:
+            return  # one watch is enough, and discovery answers one call at a time
+        self._stop()
         if on and self._tasks is not None:
             self._watching = anyio.CancelScope()
             self._tasks.start_soon(self._watch, self._watching)
 
+    def _stop(self) -> None:
+        if self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery answers at another address from now on: ask there at once, for the whole list.
+
+        Guards against the news between two addresses: a version of the old one may mean nothing at the
+        new one. The list held stays in force until the answer is there.
+        """
+        if address == self._address:
+            return
+        log.info("discovery moved", extra={"to": "{}:{}".format(*address)})
+        self._address = address
+        self._version = None
+        self._moved_at = self._clock.now()
+        self._stop()
+        self.subscribe(True)
+
     def fetch(self) -> None:
         if self._tasks is not None:
             self._tasks.start_soon(self._once, "/v1/servers", FETCH)
@@ -68,7 +95,9 @@
                 if self._version is not None:
                     path, limit = f"{path}?index={self._version}&wait={WAIT}", WAIT + LATE
                 if not await self._once(path, limit):
-                    break
+                    if self._clock.now() - self._moved_at >= MOVED_FOR:
+                        break  # the module asks again
+                    await self._clock.sleep(MOVED_RETRY)
         if self._watching is scope:
             self._watching = None
 
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -4,12 +4,16 @@
 
 import logging
 import signal
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
 
 import anyio
+import anyio.abc
 
-from puffinford.config import Config
+from puffinford.config import BadConfig, Config
 from puffinford.core.clock import Clock
 from puffinford.core.exchange import Exchange
+from puffinford.core.values import ServerSide
 from puffinford.fronts.channels.server import ChannelServers
 from puffinford.fronts.channels.submitter import ChannelSubmitters
 from puffinford.fronts.lines.server import LineServers
@@ -29,44 +33,130 @@
 STAY = 10_000.0  # after the drain, for the platform to end the process itself
 
 
-async def serve(config: Config, clock: Clock) -> None:
-    settings = config.settings
-    channel_servers = ChannelServers(clock, settings.connect_timeout)
-    exchange = Exchange(
-        settings,
-        config.seed,
-        clock,
-        {"lines": LineServers(clock, settings.connect_timeout), "channels": channel_servers},
-    )
-    source: DiscoveryWatch | InventoryFile
-    if config.inventory is not None:
-        source = InventoryFile(config.inventory, clock, exchange.take_list)
-        source.check()
-    else:
-        assert config.discovery is not None
-        source = DiscoveryWatch(config.discovery, config.known, clock, exchange.take_list)
-    longest = min(DRAIN_MOST, max(cls.deadline for cls in settings.classes))
-    fronts: list[tuple[tuple[str, int], Handler]] = [(config.listen, LineSubmitters(exchange, clock).handle)]
-    if config.channels is not None:
-        fronts.append((config.channels, ChannelSubmitters(exchange, clock).handle))
-    listeners = [(listener, handle) for address, handle in fronts for listener in await bind(address)]
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(channel_servers.run)
-            tasks.start_soon(exchange.run, source, config.known)
-            tasks.start_soon(source.run)
-            for listener, handle in listeners:
-                tasks.start_soon(accept_all, listener, handle, clock)
-            for listener, _ in listeners:
-                log.info("serving", extra={"balancer": config.name, "listen": local_address(listener)})
-            async for signum in signals:
-                log.info("stopping", extra={"signal": signal.Signals(signum).name})
-                if signum == signal.SIGTERM:
-                    await exchange.drain(DRAIN_FROM, longest + KILL_AFTER - DRAIN_FROM - DRAIN_SPARE)
-                    log.info("drained")
-                    with clock.limit(STAY):
-                        async for _ in signals:
-                            break
-                break
-            tasks.cancel_scope.cancel()
-    log.info("stopped")
+@dataclass
+class Front:
+    """One listening address and what serves the connections that come there."""
+
+    name: str
+    handle: Handler
+    address: tuple[str, int] | None = None
+    scope: anyio.CancelScope | None = None  # ends the listening; what was accepted stays
+
+
+class Service:
+    """The parts of one balancer, and what a new configuration changes in them."""
+
+    def __init__(self, config: Config, clock: Clock, load: Callable[[], Config]) -> None:
+        self._config = config
+        self._clock = clock
+        self._load = load
+        self._line_servers = LineServers(clock, config.settings.connect_timeout)
+        self._channel_servers = ChannelServers(clock, config.settings.connect_timeout)
+        sides: dict[str, ServerSide] = {"lines": self._line_servers, "channels": self._channel_servers}
+        self._exchange = Exchange(config.settings, config.seed, clock, sides)
+        self._source: DiscoveryWatch | InventoryFile
+        if config.inventory is not None:
+            self._source = InventoryFile(config.inventory, clock, self._exchange.take_list)
+            self._source.check()
+        else:
+            assert config.discovery is not None
+            unprompted = not config.settings.list_on_request
+            self._source = DiscoveryWatch(
+                config.discovery, config.known, clock, self._exchange.take_list, unprompted
+            )
+        self._lines = Front("lines", LineSubmitters(self._exchange, clock).handle)
+        self._channels = Front("channels", ChannelSubmitters(self._exchange, clock).handle)
+        self._tasks: anyio.abc.TaskGroup
+        self._draining = False
+
+    async def run(self) -> None:
+        signums = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        listeners = await self._bind(self._config)
+        with anyio.open_signal_receiver(*signums) as signals:
+            async with anyio.create_task_group() as tasks:
+                self._tasks = tasks
+                tasks.start_soon(self._channel_servers.run)
+                tasks.start_soon(self._exchange.run, self._source, self._config.known)
+                tasks.start_soon(self._source.run)
+                self._listen(listeners)
+                await self._obey(signals)
+                tasks.cancel_scope.cancel()
+        log.info("stopped")
+
+    async def _obey(self, signals: AsyncIterator[signal.Signals]) -> None:
+        """Take signals until one ends the process. A reload may come during a drain, and before one."""
+        async for signum in signals:
+            if signum == signal.SIGHUP:
+                await self._reload()
+                continue
+            log.info("stopping", extra={"signal": signal.Signals(signum).name})
+            if signum != signal.SIGTERM or self._draining:
+                return
+            self._draining = True
+            self._tasks.start_soon(self._drain)
+
+    async def _drain(self) -> None:
+        longest = min(DRAIN_MOST, max(cls.deadline for cls in self._config.settings.classes))
+        await self._exchange.drain(DRAIN_FROM, longest + KILL_AFTER - DRAIN_FROM - DRAIN_SPARE)
+        log.info("drained")
+        await self._clock.sleep(STAY)
+        self._tasks.cancel_scope.cancel()
+
+    # Listening
+
+    def _wanted(self, config: Config) -> list[tuple[Front, tuple[str, int] | None]]:
+        return [(self._lines, config.listen), (self._channels, config.channels)]
+
+    async def _bind(self, config: Config) -> list[tuple[Front, list[anyio.abc.SocketListener]]]:
+        """Listeners where a front's address is new; raises OSError, and then none is left open."""
+        made: list[tuple[Front, list[anyio.abc.SocketListener]]] = []
+        try:
+            for front, address in self._wanted(config):
+                if address is not None and address != front.address:
+                    made.append((front, await bind(address)))
+        except OSError:
+            for _, listeners in made:
+                for listener in listeners:
+                    await listener.aclose()
+            raise
+        return made
+
+    def _listen(self, made: list[tuple[Front, list[anyio.abc.SocketListener]]]) -> None:
+        """Listen at the new addresses and no longer at those that are not wanted."""
+        for front, address in self._wanted(self._config):
+            if address != front.address:
+                front.address = address
+                if front.scope is not None:
+                    front.scope.cancel()
+                front.scope = anyio.CancelScope()
+        for front, listeners in made:
+            assert front.scope is not None
+            for listener in listeners:
+                self._tasks.start_soon(
+                    accept_all, listener, front.handle, self._clock, self._tasks, front.scope
+                )
+                told = {"balancer": self._config.name, "front": front.name, "listen": local_address(listener)}
+                log.info("serving", extra=told)
+
+    # A new configuration
+
+    async def _reload(self) -> None:
+        """Take a new configuration whole or not at all; connections and what is known of servers stay."""
+        try:
+            config = self._load()
+            made = await self._bind(config)
+        except (BadConfig, OSError) as exc:
+            log.error("reload failed", extra={"error": str(exc)})
+            return
+        self._config = config
+        self._exchange.configure(config.settings)
+        self._line_servers.connect_timeout = config.settings.connect_timeout
+        self._channel_servers.connect_timeout = config.settings.connect_timeout
+        if isinstance(self._source, DiscoveryWatch) and config.discovery is not None:
+            self._source.move(config.discovery)
+        self._listen(made)
+        log.info("reloaded", extra={"balancer": config.name})
+
+
+async def serve(config: Config, clock: Clock, load: Callable[[], Config]) -> None:
+    await Service(config, clock, load).run()
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import json
 import socket
 import struct
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import cast
@@ -134,7 +135,7 @@
     async def listen(self, handle: Handler) -> int:
         multi = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
         listener = cast(anyio.abc.SocketListener, multi.listeners[0])
-        self.tasks.start_soon(accept_all, listener, handle, Clock())
+        self.tasks.start_soon(accept_all, listener, handle, Clock(), self.tasks, anyio.CancelScope())
         return int(listener.extra(SocketAttribute.local_port))
 
     async def server(
@@ -198,6 +199,21 @@
     await peer.fin()
 
 
+def discovery(asked: list[bytes], *servers: Mapping[str, object]) -> Handler:
+    """Discovery that names these servers when asked for the whole list, and then has no more to tell."""
+
+    async def handle(stream: anyio.abc.SocketStream) -> None:
+        peer = Peer(stream)
+        asked.append(await peer.line())
+        if b"index=" in asked[-1]:
+            await peer.line()
+            await anyio.sleep_forever()
+        body = json.dumps({"version": 1, "full": True, "servers": servers}).encode()
+        await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+    return handle
+
+
 @asynccontextmanager
 async def stage(told: Settings | None = None) -> AsyncIterator[Stage]:
     told = told or settings()
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -219,6 +219,16 @@
         assert await client.line() == b"FIN"
 
 
+async def test_a_server_that_ends_because_its_submitter_has_is_not_taken_for_failed() -> None:
+    async with stage() as here:
+        await here.server("s-1", echo)
+        client = await here.client(opening())
+        assert await client.line() == b"UP r1\r\n"
+        await client.stream.send_eof()
+        assert await client.line() == b"FIN"
+        assert not here.exchange._balancer._fleet.backends["s-1"].down
+
+
 async def test_a_server_that_answers_fewer_lines_than_it_gets_is_not_silent() -> None:
     waiting = Unanswered()
     for now in range(0, 30_000, 2_000):
@@ -301,6 +311,8 @@
         def __init__(self) -> None:
             self.tries = 0
 
+        async def aclose(self) -> None: ...
+
         async def accept(self) -> anyio.abc.SocketStream:
             self.tries += 1
             if self.tries == 1:
@@ -314,7 +326,7 @@
     done = anyio.Event()
     listener = Listener()
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(accept_all, listener, handle, Clock())
+        tasks.start_soon(accept_all, listener, handle, Clock(), tasks, anyio.CancelScope())
         with anyio.fail_after(10):
             await done.wait()
         tasks.cancel_scope.cancel()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,14 +9,16 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any, cast
 
 import anyio
 import pytest
+from anyio.abc import ByteReceiveStream
 
 from puffinford.fronts.channels import codec
-from tests.stage import ChannelPeer, Peer, answering, opening, stage
+from tests.stage import ChannelPeer, Peer, answering, discovery, echo, opening, stage
 
-FACTS = {"classes": [{"name": "price-lookup", "give_up": 400.0, "repeat": "idempotent"}]}
+FACTS: dict[str, Any] = {"classes": [{"name": "price-lookup", "give_up": 400.0, "repeat": "idempotent"}]}
 
 
 @pytest.mark.anyio
@@ -53,6 +55,65 @@
             assert await process.wait() == 0
 
 
+@pytest.mark.anyio
+async def test_a_reload_is_whole_or_not_at_all_and_sigterm_still_moves_everyone(tmp_path: Path) -> None:
+    """SIGHUP ended the process, and every connection with it."""
+    config = tmp_path / "config.json"
+    async with stage() as here:
+        server = {"id": "s-1", "addr": f"127.0.0.1:{await here.listen(lambda s: echo(Peer(s)))}"}
+        asked: list[list[bytes]] = [[], []]
+        ports = [await here.listen(discovery(heard, server)) for heard in asked]
+
+        def tell(port: int, classes: list[dict[str, object]]) -> None:
+            told = {"listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{port}"}
+            config.write_text(json.dumps({**told, "settings": {"classes": classes}}))
+
+        tell(ports[0], FACTS["classes"])
+        env = {"EDGE_CONFIG": str(config), "EDGE_DISCOVERY": f"127.0.0.1:{ports[0]}"}
+        command = [sys.executable, "-m", "puffinford"]
+        async with await anyio.open_process(command, env=env, stderr=subprocess.PIPE) as process:
+            assert process.stderr is not None
+            log = b""
+
+            async def logged(pattern: bytes) -> re.Match[bytes]:
+                """Wait for a line of the log; what stands before it is not looked at again."""
+                nonlocal log
+                while (found := re.search(pattern + rb".*\n", log)) is None:
+                    log += await cast(ByteReceiveStream, process.stderr).receive()
+                log = log[found.end() :]
+                return found
+
+            port = int((await logged(rb"event=serving .*:(\d+)"))[1])
+            await logged(b"server=s-1 state=live list=replace")
+            client = Peer(await anyio.connect_tcp("127.0.0.1", port))
+            await client.say(opening())
+            assert await client.line() == b"UP r1\r\n"
+            for text in ("{", json.dumps({"listen": "nowhere"})):
+                config.write_text(text)
+                process.send_signal(signal.SIGHUP)
+                await logged(b'level=error .*event="reload failed"')
+            assert not asked[1]
+            for turn in (1, 0, 1):
+                before = len(asked[turn])
+                tell(ports[turn], [*FACTS["classes"], {**FACTS["classes"][0], "name": f"new-{turn}"}])
+                process.send_signal(signal.SIGHUP)
+                await logged(b"event=reloaded")
+                await logged(b"server=s-1 state=live list=replace")
+                assert asked[turn][before].startswith(b"GET /v1/servers HTTP"), "the whole list"
+                await client.say(b"on")
+                assert await client.line() == b"on\r\n"
+            fresh = Peer(await anyio.connect_tcp("127.0.0.1", port))
+            await fresh.say(opening("0b", b"c=new-1,d=2000"))
+            assert await fresh.line() == b"UP r1\r\n"
+            process.send_signal(signal.SIGTERM)
+            for peer in (client, fresh):
+                assert [await peer.line(), await peer.line()] == [b"MOVE\r\n", b"FIN"]
+                await peer.fin()
+            await logged(b"event=drained")
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+
+
 @pytest.mark.parametrize(
     "told",
     [
