Bound what bad clients can hold: own sockets, a door for the silent, a descriptor budget

The log has 212 connections ended after 10 s of silence, and "accept failed" (EMFILE) until the end; 1,152 connections were answered and stayed, each read on for 0.8 s. CPU (0.35 of 0.85 cores) and memory (27 of 80 MB) were ruled out. At fault: FIRST_LINE, Wire.end after a refusal, accept_all without a count, and anyio's streams, which read 256 KiB ahead. Openings with exponents in d, control characters or more lines at once went on to servers.

Now: an answer that is no UP closes the connection; a first line has 2 s; those that have asked for nothing hold a quarter of the descriptors, the longest quiet going first; newcomers over the limit are closed; our own lack of descriptors is told to the module as MOOT and blames no server. The channel front has the same bounds.

--- a/puffinford/config.py
+++ b/puffinford/config.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import math
 import tomllib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -24,6 +25,15 @@
     """The configuration cannot be used; the text says where and why."""
 
 
+@dataclass(frozen=True)
+class Limits:
+    """What the platform allows. The program counts its descriptors; the rest is kept by its bounds."""
+
+    cores: float = 1.0
+    memory_mb: float = 192.0
+    sockets: int = 1_024
+
+
 @dataclass(frozen=True)
 class Config:
     name: str
@@ -33,6 +43,7 @@
     settings: Settings
     known: MachineList | None
     inventory: Path | None = None
+    limits: Limits = Limits()
     channels: tuple[str, int] | None = None  # where the channel front listens
 
 
@@ -76,6 +87,24 @@
         raise BadConfig(f"{name}: {exc}") from None
 
 
+def _limits(told: object) -> Limits:
+    """The limits that are told, the rest as they are by default."""
+    if told is None:
+        return Limits()
+    if not isinstance(told, dict):
+        raise BadConfig("limits: not an object")
+    values: dict[str, float] = {}
+    for name in ("cores", "memory_mb", "sockets"):
+        value = told.get(name)
+        if value is None:
+            continue
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+            raise BadConfig(f"limits.{name}: no number above 0")
+        values[name] = value
+    sockets = int(values.pop("sockets", Limits.sockets))
+    return Limits(sockets=sockets, **values)
+
+
 def load(
     env: Mapping[str, str],
     from_unix: Callable[[float], float],
@@ -126,4 +155,7 @@
     if discovery is None and inventory is None:
         raise BadConfig("discovery: missing, and no inventory is given")
     name = str(told.get("name", ""))
-    return Config(name, listen, discovery, number, settings, known, inventory, load_channels(channels))
+    limits = _limits(told.get("limits"))
+    return Config(
+        name, listen, discovery, number, settings, known, inventory, limits, load_channels(channels)
+    )
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -48,14 +48,13 @@
 class Claim:
     """One attempt at a server."""
 
-    __slots__ = ("cancelled", "leg", "machine", "number", "scope", "started", "unanswered")
+    __slots__ = ("leg", "machine", "number", "scope", "started", "unanswered")
 
     def __init__(self, machine: Machine, number: int, started: float) -> None:
         self.machine = machine
         self.number = number
         self.started = started
         self.scope = anyio.CancelScope()
-        self.cancelled = False
         self.leg: Leg | None = None  # set once it stands
         self.unanswered = Unanswered()
 
@@ -163,7 +162,9 @@
                 self._machines[machine.server.id] = machine
         for machine in machines.machines:
             server = machine.server
-            log.info("machine", extra={"server": server.id, "state": server.state.value, "list": kind.value})
+            up_s = round((self._clock.now() - server.started) / 1_000.0, 1) if server.started else "long"
+            told = {"server": server.id, "state": server.state.value, "up_s": up_s, "list": kind.value}
+            log.info("machine", extra=told)
         self._tell(it.ServerList(kind, [m.server for m in machines.machines], machines.version))
 
     # The decision module
@@ -200,7 +201,6 @@
             case it.Cancel():
                 job = self._jobs.get(action.id)
                 if job is not None and job.claim is not None and job.claim.number == action.attempt:
-                    job.claim.cancelled = True
                     job.claim.scope.cancel()
             case it.Move():
                 job = self._jobs.get(action.id)
@@ -239,11 +239,11 @@
     async def serve(self, opening: Opening, submitter: SubmitterLeg) -> None:
         """Serve one job to its end. Exactly one final answer goes to the submitter."""
         if opening.cls not in self._classes:
-            return await self._answer_and_end(submitter, Failed("unknown class"))
+            return await self._refuse(submitter, Failed("unknown class"))
         if opening.job in self._jobs:
-            return await self._answer_and_end(submitter, Failed("id in use"))
+            return await self._refuse(submitter, Failed("id in use"))
         if self._leaving:
-            return await self._answer_and_end(submitter, Busy(self._settings.max_retry_after))
+            return await self._refuse(submitter, Busy(self._settings.max_retry_after))
         job = self._jobs[opening.job] = Job(opening, submitter, self._clock.now() + opening.wait)
         try:
             async with anyio.create_task_group() as tasks:
@@ -288,11 +288,16 @@
             return
         if job.ending is None and not job.standing:
             log.error("unanswered", extra={"job": job.id})
-            if job.claim is not None:
-                job.claim.scope.cancel()
-            job.ending = Ending(Failed("out of time", late=True))
+            self._abandon(job, Ending(Failed("out of time", late=True)))
+
+    def _abandon(self, job: Job, ending: Ending) -> None:
+        """End a job that does not stand yet, whatever the module has in hand for it."""
+        if job.ending is None:
+            job.ending = ending
             job.done.set()
             self._tell(it.ClientLeft(job.id))
+            if job.claim is not None:
+                job.claim.scope.cancel()
 
     def _finish(self, ident: str, ending: Ending) -> None:
         job = self._jobs.get(ident)
@@ -329,7 +334,7 @@
             if server is not None:
                 tasks.start_soon(server.abort if ending.broken or ending.answer else server.end)
             if ending.answer is not None:
-                await self._answer_and_end(submitter, ending.answer)
+                await self._refuse(submitter, ending.answer)
                 return
             if ending.broken:
                 await submitter.abort()
@@ -345,13 +350,11 @@
                     return
             await submitter.end()
 
-    async def _answer_and_end(self, submitter: SubmitterLeg, answer: Busy | Failed) -> None:
+    async def _refuse(self, submitter: SubmitterLeg, answer: Busy | Failed) -> None:
         try:
             await submitter.answer(answer)
         except Broken:
             await submitter.abort()
-        else:
-            await submitter.end()
 
     # The submitter's side of a job
 
@@ -361,7 +364,11 @@
         try:
             while True:
                 message = await job.submitter.receive()
-                await job.up.wait()
+                if not job.up.is_set():
+                    # Guards against commands sent at once: a submitter waits for its answer, and
+                    # nothing but its opening may reach a server on its account.
+                    self._abandon(job, Ending(Failed("a line before UP")))
+                    return
                 claim = job.claim
                 if claim is None or claim.leg is None:
                     return
@@ -377,13 +384,7 @@
         if job.ending is not None:
             return
         if not job.standing:
-            self._tell(it.ClientLeft(job.id))
-            if job.claim is not None:
-                job.claim.cancelled = True
-                job.claim.scope.cancel()
-            if job.ending is None:
-                job.ending = Ending(broken=True)
-                job.done.set()
+            self._abandon(job, Ending(broken=True))
             return
         if not broken and job.claim is not None and job.claim.leg is not None:
             job.left = True
@@ -438,16 +439,10 @@
             await self._relay(job, claim, up)
             return
         job.claim = None
-        log.info(
-            "claim ended",
-            extra={
-                "job": job.id,
-                "server": server,
-                "result": ended.result.value,
-                "number": claim.number,
-                "ms": round(latency, 1),
-            },
-        )
+        told = {"job": job.id, "server": server, "result": ended.result.value, "number": claim.number}
+        if ended.result is it.Result.ERROR:
+            told["figures"] = str(job.opening.figures)[:300]  # the opening may be at fault
+        log.info("claim ended", extra={**told, "ms": round(latency, 1)})
         if ended.result is it.Result.OK and job.ending is None:
             # Served to its end before it ever stood: what the server sent is the answer.
             await self._pass_all(job, ended.messages)
@@ -497,13 +492,12 @@
             "up",
             extra={"job": job.id, "server": ident, "claims": claim.number + 1},
         )
+        job.up.set()
         try:
             try:
                 await job.submitter.answer(up)
             except Broken:
                 return  # the listener hears it too
-            finally:
-                job.up.set()
             while True:
                 message = await leg.receive()
                 if message.kind is Kind.NOTE:
@@ -581,11 +575,8 @@
         for job in list(self._jobs.values()):
             if job.standing:
                 self._close(job, Ending(move=True), it.Result.CANCELLED)
-            elif job.ending is None:
-                self._tell(it.ClientLeft(job.id))
-                if job.claim is not None:
-                    job.claim.scope.cancel()
-                self._finish(job.id, Ending(Busy(self._settings.max_retry_after)))
+            else:
+                self._abandon(job, Ending(Busy(self._settings.max_retry_after)))
         while self._jobs:
             await self._clock.sleep(20.0)
 
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import math
+import re
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -14,13 +14,15 @@
     """An opening that asks for nothing that can be served; the text says why."""
 
 
+_NUMBER = re.compile(r"\d{1,15}(\.\d{1,15})?", re.ASCII)
+
+
 def number(text: str | None) -> float | None:
-    """A number of 0 or more, or None."""
-    try:
-        value = float(text or "")
-    except ValueError:
-        return None
-    return value if 0 <= value < math.inf else None
+    """A plain number of 0 or more, or None.
+
+    Guards against what only float() takes for one: exponents, underscores, spaces, infinity.
+    """
+    return float(text) if text is not None and _NUMBER.fullmatch(text) else None
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,7 +44,10 @@
     @classmethod
     def from_figures(cls, job: str, key: str, figures: tuple[tuple[str, str | None], ...]) -> Opening:
         """An opening from its named values, whichever front brought them; raises BadOpening."""
-        named = dict(reversed(figures))  # the first of a name counts
+        named = dict(figures)
+        if len(named) < len(figures):
+            # Guards against an opening that we and a server read differently.
+            raise BadOpening("a name stands there twice")
         wait = number(named.get("d"))
         if not named.get("c"):
             raise BadOpening("no class")
@@ -155,7 +160,7 @@
 
 class SubmitterLeg(Leg, Protocol):
     async def answer(self, answer: Up | Busy | Failed) -> None:
-        """The one answer to the opening."""
+        """The one answer to the opening. Any but UP is the last of the connection."""
 
     async def move(self) -> None:
         """Tell the submitter to come back through the front."""
--- a/puffinford/fronts/channels/mux.py
+++ b/puffinford/fronts/channels/mux.py
@@ -10,6 +10,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from contextlib import AbstractContextManager
 
 import anyio
 import anyio.abc
@@ -17,16 +18,17 @@
 from puffinford.core.clock import Clock
 from puffinford.core.values import Broken, Ended
 from puffinford.fronts.channels import codec
-from puffinford.fronts.sockets import Wire
+from puffinford.fronts.sockets import Door, Wire
 
 log = logging.getLogger(__name__)
 
-WINDOW = 65_536  # bytes that a peer may send on a channel before they are taken
+WINDOW = 16_384  # bytes that a peer may send on a channel before they are taken
 WINDOW_MOST = 0xFFFFFFFF
-CHANNELS_MOST = 256  # open channels of one connection; each may hold a window of bytes
-ITEMS_MOST = 4_096  # pieces and requests that a channel may hold untaken
-HELLO = 10_000.0  # a peer that has sent no version line by then is ended
-GOODBYE = 500.0  # for the last packets of a connection
+CHANNELS_MOST = 64  # open channels of one connection; each may hold a window of bytes
+ITEMS_MOST = 256  # pieces and requests that a channel may hold untaken
+CONTROL_MOST = 1_024  # answers that a peer may leave unread
+HELLO = 2_000.0  # a peer that has sent no version line by then is ended
+IDLE = 10_000.0  # and one that has opened no channel by then, or has had none open for so long
 
 Open = codec.ChannelOpen
 
@@ -229,8 +231,10 @@
         *,
         client: bool,
         on_open: Callable[[Channel, Open], None] | None = None,
+        door: Door | None = None,
     ) -> None:
         self._wire = wire
+        self._door = door  # where a connection without a channel waits; a server's needs none
         self._clock = clock
         self._client = client
         self._on_open = on_open
@@ -260,11 +264,7 @@
             for channel in pending:
                 channel.lost()
             self._channels.clear()
-            try:
-                if fault is not None:
-                    await self._wire.end()
-            finally:
-                await self._wire.close()
+            self._wire.close()
 
     async def _goodbye(self, fault: codec.Malformed | None, pending: list[Channel]) -> None:
         """Answer each open that still waits, close what stands, say why, and go."""
@@ -280,15 +280,15 @@
         if fault is not None:
             log.warning("malformed", extra={"error": str(fault), "reason": reason})
         last.append(codec.Disconnect(reason, str(fault or "end of service")))
-        with self._clock.limit(GOODBYE), contextlib.suppress(Broken):
-            await self._wire.write(b"".join(map(codec.encode, last)))
+        with contextlib.suppress(Broken):
+            await self._wire.finish(b"".join(map(codec.encode, last)))
 
     # Reading
 
     async def _read(self) -> codec.Malformed | None:
         packets = codec.Packets(banner=self._client)
         try:
-            with self._clock.limit(HELLO):
+            with self._waiting(HELLO):
                 while packets.version is None:
                     packets.feed(await self._wire.read())
                     payload = packets.next()
@@ -307,12 +307,27 @@
                         )
                         return None
                     self._take(message)
-                packets.feed(await self._wire.read())
+                if len(self._control) > CONTROL_MOST:
+                    # Guards the memory against a peer that asks on and reads nothing.
+                    return codec.Malformed("too many answers unread")
+                chunk = b""
+                with self._waiting(IDLE) if self._idle else contextlib.nullcontext():
+                    chunk = await self._wire.read()
+                if not chunk:
+                    return codec.Malformed("idle", codec.BY_APPLICATION)
+                packets.feed(chunk)
         except codec.Malformed as exc:
             return exc
         except (Ended, Broken):
             return None
 
+    @property
+    def _idle(self) -> bool:
+        return self._door is not None and not self._channels
+
+    def _waiting(self, ms: float) -> AbstractContextManager[object]:
+        return self._clock.limit(ms) if self._door is None else self._door.wait(ms)
+
     def _take(self, message: codec.Message) -> None:
         match message:
             case codec.ChannelOpen():
--- a/puffinford/fronts/channels/server.py
+++ b/puffinford/fronts/channels/server.py
@@ -13,7 +13,7 @@
 from puffinford.fronts.channels.leg import ChannelLeg
 from puffinford.fronts.channels.mux import Channel, Mux, Refused
 from puffinford.fronts.channels.opening import decode_refusal, encode_opening
-from puffinford.fronts.sockets import Wire, connect
+from puffinford.fronts.sockets import Budget, OwnLack, connect
 from puffinford.interface import Result
 
 log = logging.getLogger(__name__)
@@ -22,8 +22,9 @@
 class ChannelServers:
     """`run` owns the connections; claims made before it are refused by their connections' lack."""
 
-    def __init__(self, clock: Clock, connect_timeout: float) -> None:
+    def __init__(self, clock: Clock, budget: Budget, connect_timeout: float) -> None:
         self._clock = clock
+        self._budget = budget
         self.connect_timeout = connect_timeout
         self._tasks: anyio.abc.TaskGroup | None = None
         self._muxes: dict[tuple[str, int], Mux] = {}
@@ -40,10 +41,13 @@
         async with self._locks.setdefault(address, anyio.Lock()):
             mux = self._muxes.get(address)
             if mux is None or mux.over:
-                stream = await connect(address)
-                if stream is None or self._tasks is None:
+                try:
+                    wire = await connect(address, self._clock, self._budget)
+                except OwnLack:
+                    raise ClaimEnded(Result.MOOT) from None
+                if wire is None or self._tasks is None:
                     raise ClaimEnded(Result.CONNECT_FAILED)
-                mux = self._muxes[address] = Mux(Wire(stream, self._clock), self._clock, client=True)
+                mux = self._muxes[address] = Mux(wire, self._clock, client=True)
                 self._tasks.start_soon(mux.run)
                 await mux.up.wait()
         if mux.over:
--- a/puffinford/fronts/channels/submitter.py
+++ b/puffinford/fronts/channels/submitter.py
@@ -5,26 +5,24 @@
 import logging
 
 import anyio
-import anyio.abc
 
-from puffinford.core.clock import Clock
 from puffinford.core.exchange import Exchange
 from puffinford.core.values import BadOpening
 from puffinford.fronts.channels import codec
 from puffinford.fronts.channels.leg import ChannelLeg
 from puffinford.fronts.channels.mux import Channel, Mux
 from puffinford.fronts.channels.opening import decode_opening
-from puffinford.fronts.sockets import Wire
+from puffinford.fronts.sockets import Door, Wire
 
 log = logging.getLogger(__name__)
 
 
 class ChannelSubmitters:
-    def __init__(self, exchange: Exchange, clock: Clock) -> None:
+    def __init__(self, exchange: Exchange, door: Door) -> None:
         self._exchange = exchange
-        self._clock = clock
+        self._door = door
 
-    async def handle(self, stream: anyio.abc.SocketStream) -> None:
+    async def handle(self, wire: Wire) -> None:
         """Serve one connection and all its channels to their ends."""
         async with anyio.create_task_group() as jobs:
 
@@ -34,7 +32,7 @@
                 except BadOpening as exc:
                     mux.refuse(channel, codec.PROHIBITED, str(exc))
                     return
-                leg = ChannelLeg(channel, self._clock)
+                leg = ChannelLeg(channel, wire.clock)
 
                 async def serve() -> None:
                     try:
@@ -45,5 +43,5 @@
 
                 jobs.start_soon(serve)
 
-            mux = Mux(Wire(stream, self._clock), self._clock, client=False, on_open=on_open)
+            mux = Mux(wire, wire.clock, client=False, on_open=on_open, door=self._door)
             await mux.run()
--- a/puffinford/fronts/lines/codec.py
+++ b/puffinford/fronts/lines/codec.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import math
+import re
 from dataclasses import dataclass
 
 from puffinford.core.values import BadOpening, Busy, Failed, Kind, Message, Opening, Up, number
+from puffinford.fronts.sockets import LINE_MOST
 from puffinford.interface import Result
 
+_CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 END = b"\r\n"
 PING = "PING"
 PONG = b"PONG" + END
@@ -32,12 +35,16 @@
 
 def decode_first(line: bytes) -> Opening | Ping:
     """The first line of a submitter."""
+    if len(line) > LINE_MOST:
+        raise BadLine("line too long")
     text = _text(line)
     if text == PING:
         return Ping()
     parts = text.split(" ")
     if len(parts) != 4 or parts[0] != "OPEN" or not parts[1] or not parts[2]:
         raise BadLine("not OPEN ID KEY LIST")
+    if _CONTROL.search(text):
+        raise BadLine("control characters")
     figures = []
     for piece in parts[3].split(","):
         name, sign, value = piece.partition("=")
--- a/puffinford/fronts/lines/leg.py
+++ b/puffinford/fronts/lines/leg.py
@@ -12,6 +12,11 @@
         self._wire = wire
         self._reader = LineReader()
 
+    @property
+    def pending(self) -> bool:
+        """Whether more has come than the lines that were taken."""
+        return self._reader.pending
+
     async def read_line(self) -> bytes:
         """The next line with its end; what came before an end without one is a line too."""
         while (line := self._reader.next()) is None:
@@ -31,7 +36,8 @@
         await self._wire.write(codec.encode_message(message))
 
     async def answer(self, answer: Up | Busy | Failed) -> None:
-        await self._wire.write(codec.encode_answer(answer))
+        data = codec.encode_answer(answer)
+        await (self._wire.write(data) if isinstance(answer, Up) else self._wire.finish(data))
 
     async def move(self) -> None:
         await self._wire.write(codec.MOVE)
@@ -43,4 +49,4 @@
         await self._wire.end()
 
     async def abort(self) -> None:
-        await self._wire.abort()
+        self._wire.abort()
--- a/puffinford/fronts/lines/server.py
+++ b/puffinford/fronts/lines/server.py
@@ -2,37 +2,39 @@
 
 from __future__ import annotations
 
-import anyio
-import anyio.abc
-
 from puffinford.core.clock import Clock
 from puffinford.core.values import Broken, ClaimEnded, Ended, Machine, Opening, Up
 from puffinford.fronts.lines import codec
 from puffinford.fronts.lines.leg import LineLeg
-from puffinford.fronts.sockets import Wire, connect
+from puffinford.fronts.sockets import Budget, OwnLack, Wire, connect
 from puffinford.interface import Result
 
 
 class LineServers:
-    def __init__(self, clock: Clock, connect_timeout: float) -> None:
+    def __init__(self, clock: Clock, budget: Budget, connect_timeout: float) -> None:
         self._clock = clock
+        self._budget = budget
         self.connect_timeout = connect_timeout
 
-    async def _connect(self, machine: Machine, wait: float) -> anyio.abc.SocketStream:
-        stream = None
-        with self._clock.limit(min(wait, self.connect_timeout)):
-            stream = await connect((machine.host, machine.port))
-        if stream is None:
+    async def _connect(self, machine: Machine, wait: float) -> Wire:
+        wire = None
+        try:
+            with self._clock.limit(min(wait, self.connect_timeout)):
+                wire = await connect((machine.host, machine.port), self._clock, self._budget)
+        except OwnLack:
+            # Guards a sound server against being taken for unreachable when we lack descriptors.
+            raise ClaimEnded(Result.MOOT) from None
+        if wire is None:
             raise ClaimEnded(Result.CONNECT_FAILED)
-        return stream
+        return wire
 
     async def claim(self, machine: Machine, opening: Opening, wait: float) -> tuple[LineLeg, Up]:
         started = self._clock.now()
-        stream = await self._connect(machine, wait)
-        wire = Wire(stream, self._clock)
+        wire = await self._connect(machine, wait)
         leg = LineLeg(wire)
         answer: Up | Result = Result.TIMEOUT
         line = b""
+        standing = False
         try:
             left = wait - (self._clock.now() - started)
             try:
@@ -46,21 +48,20 @@
                 except (Ended, Broken):
                     answer = Result.RESET
             if isinstance(answer, Up):
-                stream = None  # type: ignore[assignment]  # it is the leg's now
+                standing = True
                 return leg, answer
             messages = (codec.decode_message(line),) if answer is Result.OK else ()
             raise ClaimEnded(answer, messages)
         finally:
             # Guards against a second claim beside one given up: its connection is closed first.
-            if stream is not None:
-                await anyio.aclose_forcefully(stream)
+            if not standing:
+                wire.close()
 
     async def probe(self, machine: Machine, wait: float) -> Result:
         try:
-            stream = await self._connect(machine, wait)
+            wire = await self._connect(machine, wait)
         except ClaimEnded as exc:
             return exc.result
-        wire = Wire(stream, self._clock)
         result = Result.TIMEOUT
         try:
             with self._clock.limit(wait):
@@ -70,5 +71,5 @@
         except (Ended, Broken):
             result = Result.RESET
         finally:
-            await wire.close()
+            wire.close()
         return result
--- a/puffinford/fronts/lines/submitter.py
+++ b/puffinford/fronts/lines/submitter.py
@@ -2,56 +2,51 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 
-import anyio.abc
-
-from puffinford.core.clock import Clock
 from puffinford.core.exchange import Exchange
 from puffinford.core.values import BadOpening, Broken, Ended, Failed
 from puffinford.fronts.lines import codec
 from puffinford.fronts.lines.leg import LineLeg
-from puffinford.fronts.sockets import Wire
+from puffinford.fronts.sockets import Door, Wire
+from puffinford.logs import Seldom
 
-log = logging.getLogger(__name__)
+seldom = Seldom(logging.getLogger(__name__))
 
 FIRST_LINE = 2_000.0  # a connection that has sent no whole line by then is ended; 3 s are allowed
-PINGS_IDLE = 60_000.0  # one that has sent PING may stay this long for the next
+PINGS_IDLE = 10_000.0  # one that has sent PING may stay this long for the next
 
 
 class LineSubmitters:
-    def __init__(self, exchange: Exchange, clock: Clock) -> None:
+    def __init__(self, exchange: Exchange, door: Door) -> None:
         self._exchange = exchange
-        self._clock = clock
+        self._door = door
 
-    async def handle(self, stream: anyio.abc.SocketStream) -> None:
+    async def handle(self, wire: Wire) -> None:
         """Serve one connection to its end."""
-        wire = Wire(stream, self._clock)
         leg = LineLeg(wire)
         wait = FIRST_LINE
         try:
             while True:
                 line = b""
-                with self._clock.limit(wait):
+                with self._door.wait(wait):
                     line = await leg.read_line()
                 if not line:
-                    log.info("no first line")
-                    await leg.answer(Failed("no line"))
-                    break
+                    raise codec.BadLine("no line in time")
                 first = codec.decode_first(line)
-                if isinstance(first, codec.Ping):
-                    await wire.write(codec.PONG)
-                    wait = PINGS_IDLE
-                    continue
-                await self._exchange.serve(first, leg)
-                return
+                if leg.pending:
+                    # Guards against commands sent at once: a client waits for the answer to each.
+                    raise codec.BadLine("more than one line at once")
+                if not isinstance(first, codec.Ping):
+                    await self._exchange.serve(first, leg)
+                    return
+                await wire.write(codec.PONG)
+                wait = PINGS_IDLE
         except BadOpening as exc:
             # Guards against whatever else connects: a plain failing answer, and no job.
-            log.info("bad first line", extra={"error": str(exc), "line": repr(line[:80])})
-            try:
+            seldom.info("bad first line", error=str(exc), line=repr(line[:80]))
+            with contextlib.suppress(Broken):
                 await leg.answer(Failed(str(exc)))
-            except Broken:
-                return
         except (Ended, Broken):
-            return
-        await leg.end()
+            pass
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -1,60 +1,115 @@
-"""What both fronts do with TCP connections."""
+"""What both fronts do with TCP connections, and the bounds on what a peer can make them hold.
+
+Each bound stands here once. Bytes: a connection is read in pieces of READ_MOST, never ahead of what takes
+them. Unread input: an ended connection is read on for at most LINGER and LINGER_BYTES, an answered one not
+at all. Silent ones: `Door`. Descriptors: `Budget`.
+"""
 
 from __future__ import annotations
 
 import contextlib
+import errno
+import ipaddress
 import logging
 import socket
 import struct
-from collections.abc import Awaitable, Callable
-from typing import Protocol, cast
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 
 import anyio
 import anyio.abc
-from anyio.abc import SocketAttribute
+from anyio.lowlevel import checkpoint
 
 from puffinford.core.clock import Clock
 from puffinford.core.values import Broken, Ended
+from puffinford.logs import Seldom
 
 log = logging.getLogger(__name__)
+seldom = Seldom(log)
 
 LINE_MOST = 4096  # bytes of a line, its end included
+READ_MOST = 16_384  # bytes taken from a connection at a time
 LINGER = 800.0  # how long an ended connection waits for its peer's end; the rules allow 1 s
+LINGER_BYTES = 65_536  # what it reads meanwhile
+LAST_MOST = 500.0  # for a peer to take the last piece of a connection
 ACCEPT_RETRY = 50.0  # after a failed accept, as when descriptors have run out
+ACCEPT_TURN = 16  # connections accepted before others have their turn
 BACKLOG = 1024
+WAITING_PART = 4  # connections without a job may hold this part of the descriptors: one of four
+RESERVE = 32  # descriptors for discovery, the listeners, the program's own files and a turn of accepting
+OWN_LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 
 
-Handler = Callable[[anyio.abc.SocketStream], Awaitable[None]]
+class OwnLack(Exception):
+    """This machine, not the other, lacks what a connection needs."""
 
 
-class Wire:
-    """A TCP connection: chunks in, whole pieces out, and both ways to end it."""
+class Budget:
+    """The one count of the sockets that are open, against what the configuration allows."""
+
+    def __init__(self, limit: int = 1024) -> None:
+        self.limit = limit
+        self.used = 0
 
-    def __init__(self, stream: anyio.abc.SocketStream, clock: Clock) -> None:
-        self._stream = stream
-        self._clock = clock
-        self._lock = anyio.Lock()
+    @property
+    def full(self) -> bool:
+        """Whether one more client and its server would not fit."""
+        return self.used + 2 > self.limit - RESERVE
+
+
+class Wire:
+    """A TCP connection: chunks in, whole pieces out, and the ways to end it."""
+
+    def __init__(self, sock: socket.socket, clock: Clock, budget: Budget) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock = sock
+        self.clock = clock
+        self._budget = budget
+        self._lock = anyio.Lock(fast_acquire=True)
+        self._torn = False
+        self._closed = False
+        budget.used += 1
 
     async def read(self) -> bytes:
+        # Guards the others against a peer that sends at full speed: each piece waits its turn.
+        await checkpoint()
         try:
-            return await self._stream.receive(65536)
-        except anyio.EndOfStream:
-            raise Ended from None
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
+            while True:
+                try:
+                    data = self._sock.recv(READ_MOST)
+                except BlockingIOError:
+                    await anyio.wait_readable(self._sock)
+                else:
+                    break
+        except (OSError, ValueError, anyio.ClosedResourceError) as exc:
             raise Broken(str(exc)) from None
+        if not data:
+            raise Ended
+        return data
 
     async def write(self, data: bytes) -> None:
         """Write a piece whole, never within another."""
         try:
             async with self._lock:
-                await self._stream.send(data)
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
+                if self._torn:
+                    raise Broken("an earlier piece was cut")
+                # Guards against half a line followed by another: a piece that is cut is the last.
+                self._torn = True
+                rest = memoryview(data)
+                while rest:
+                    try:
+                        rest = rest[self._sock.send(rest) :]
+                    except BlockingIOError:
+                        await anyio.wait_writable(self._sock)
+                self._torn = False
+        except (OSError, ValueError, anyio.ClosedResourceError) as exc:
             raise Broken(str(exc)) from None
 
     async def end_sending(self) -> None:
         try:
-            await self._stream.send_eof()
-        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError as exc:
             raise Broken(str(exc)) from None
 
     async def end(self) -> None:
@@ -63,24 +118,41 @@
         Guards against the RST that a close with unread bytes sends: it would overtake the last line.
         """
         try:
-            with self._clock.limit(LINGER):
+            with self.clock.limit(LINGER), contextlib.suppress(Ended, Broken):
                 await self.end_sending()
-                while True:
-                    await self.read()
-        except (Ended, Broken):
-            pass
-        await self.close()
+                left = LINGER_BYTES
+                while left > 0:
+                    left -= len(await self.read())
+        finally:
+            self.close()
+
+    async def finish(self, data: bytes) -> None:
+        """Write a last piece and close, whatever the peer still sends; raises Broken.
+
+        Guards against clients that are answered and stay, or send on: they hold nothing here.
+        """
+        try:
+            with self.clock.limit(LAST_MOST):
+                await self.write(data)
+        finally:
+            self.close()
 
-    async def close(self) -> None:
-        await anyio.aclose_forcefully(self._stream)
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self._budget.used -= 1
+            anyio.notify_closing(self._sock)
+            self._sock.close()
 
-    async def abort(self) -> None:
+    def abort(self) -> None:
         """Close with RST."""
-        raw = self._stream.extra(SocketAttribute.raw_socket, None)
-        if raw is not None:
-            with contextlib.suppress(OSError):  # closed already
-                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        await self.close()
+        if not self._closed:
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.close()
+
+
+Handler = Callable[[Wire], Awaitable[None]]
 
 
 class LineReader:
@@ -100,41 +172,99 @@
     def next(self) -> bytes | None:
         return self._lines.pop(0) if self._lines else None
 
+    @property
+    def pending(self) -> bool:
+        """Whether bytes are held that no line has taken."""
+        return bool(self._lines or self._rest)
+
     def rest(self) -> bytes:
         """What came after the last line end; once, when the stream has ended."""
         rest, self._rest = self._rest, b""
         return rest
 
 
-async def connect(address: tuple[str, int]) -> anyio.abc.SocketStream | None:
-    """A connection, or None where it is refused, unreachable, or out of descriptors."""
+def _address(host: str, port: int) -> tuple[socket.AddressFamily, tuple[str, int]]:
+    six = ipaddress.ip_address(host).version == 6
+    return (socket.AF_INET6 if six else socket.AF_INET), (host, port)
+
+
+async def connect(address: tuple[str, int], clock: Clock, budget: Budget) -> Wire | None:
+    """A connection, or None where it is refused or unreachable; raises OwnLack."""
+    family, target = _address(*address)
+    told = {"to": "{}:{}".format(*address)}
     try:
-        return await anyio.connect_tcp(*address)
+        sock = socket.socket(family, socket.SOCK_STREAM)
     except OSError as exc:
-        log.info("connect failed", extra={"to": "{}:{}".format(*address), "error": str(exc)})
-        return None
-
+        log.warning("connect failed", extra={**told, "error": str(exc)})
+        raise OwnLack(str(exc)) from None
+    wire = Wire(sock, clock, budget)
+    try:
+        error = sock.connect_ex(target)
+        if error == errno.EINPROGRESS:
+            await anyio.wait_writable(sock)
+            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    except BaseException:
+        wire.close()
+        raise
+    if not error:
+        return wire
+    wire.close()
+    log.info("connect failed", extra={**told, "error": errno.errorcode.get(error, str(error))})
+    if error in OWN_LACK:
+        raise OwnLack(errno.errorcode[error])
+    return None
+
+
+class Door:
+    """The connections that have not asked for anything yet, oldest first.
+
+    Guards against peers that connect by the hundreds and say nothing: together these hold no more than
+    their part of the descriptors, and the one that has been quiet longest goes first, for a client
+    that wants something says so at once.
+    """
 
-class Acceptor(Protocol):
-    async def accept(self) -> anyio.abc.SocketStream: ...
+    def __init__(self, clock: Clock, budget: Budget) -> None:
+        self.clock = clock
+        self.budget = budget
+        self._waiting: dict[object, anyio.CancelScope] = {}
+
+    @contextmanager
+    def wait(self, ms: float) -> Iterator[None]:
+        """What is within is cancelled after so long, or when its place is needed."""
+        token = object()
+        with self.clock.limit(ms) as scope:
+            self._waiting[token] = scope
+            try:
+                yield
+            finally:
+                del self._waiting[token]
 
-    async def aclose(self) -> None: ...
+    def make_room(self) -> bool:
+        """Send the oldest away where there is no room for one more; tells whether there is room now."""
+        scopes = [scope for scope in self._waiting.values() if not scope.cancel_called]
+        crowd = len(scopes) - max(1, self.budget.limit // WAITING_PART) + 1
+        going = max(crowd, int(self.budget.full))
+        for scope in scopes[: max(0, going)]:
+            scope.cancel()
+        # Those sent away are gone in a moment: until then the reserve holds their successors.
+        return not self.budget.full or going <= len(scopes)
 
 
-def local_address(listener: anyio.abc.SocketListener) -> str:
-    address = listener.extra(SocketAttribute.local_address)
-    return f"{address[0]}:{address[1]}"
+def local_address(listener: socket.socket) -> str:
+    return "{}:{}".format(*listener.getsockname()[:2])
 
 
-async def bind(address: tuple[str, int]) -> list[anyio.abc.SocketListener]:
-    multi = await anyio.create_tcp_listener(local_host=address[0], local_port=address[1], backlog=BACKLOG)
-    return [cast(anyio.abc.SocketListener, listener) for listener in multi.listeners]
+def bind(address: tuple[str, int]) -> socket.socket:
+    family, target = _address(*address)
+    listener = socket.create_server(target, family=family, backlog=BACKLOG)
+    listener.setblocking(False)
+    return listener
 
 
 async def accept_all(
-    listener: Acceptor,
+    listener: socket.socket,
     handle: Handler,
-    clock: Clock,
+    door: Door,
     tasks: anyio.abc.TaskGroup,
     scope: anyio.CancelScope,
 ) -> None:
@@ -143,23 +273,34 @@
     Each connection has a task of its own, whose faults stay its own.
     """
 
-    async def guarded(stream: anyio.abc.SocketStream) -> None:
+    async def guarded(wire: Wire) -> None:
         try:
-            await handle(stream)
+            await handle(wire)
         except Exception:
             log.exception("connection failed")
         finally:
-            await anyio.aclose_forcefully(stream)
+            wire.close()
 
     with scope:
         while True:
-            try:
-                stream = await listener.accept()
-            except OSError as exc:
-                # Guards against running out of descriptors, and against a peer that is gone before
-                # its connection is taken up: a later accept may do.
-                log.warning("accept failed", extra={"error": str(exc)})
-                await clock.sleep(ACCEPT_RETRY)
-                continue
-            tasks.start_soon(guarded, stream)
-    await listener.aclose()
+            await anyio.wait_readable(listener)
+            for _ in range(ACCEPT_TURN):
+                try:
+                    sock, _peer = listener.accept()
+                except BlockingIOError:
+                    break
+                except OSError as exc:
+                    # Guards against running out of descriptors, and against a peer that is gone before
+                    # its connection is taken up: a later accept may do.
+                    log.warning("accept failed", extra={"error": str(exc)})
+                    door.make_room()
+                    await door.clock.sleep(ACCEPT_RETRY)
+                    break
+                wire = Wire(sock, door.clock, door.budget)
+                if door.make_room():
+                    tasks.start_soon(guarded, wire)
+                else:
+                    seldom.warning("no room", open=door.budget.used, limit=door.budget.limit)
+                    wire.close()
+    anyio.notify_closing(listener)
+    listener.close()
--- a/puffinford/logs.py
+++ b/puffinford/logs.py
@@ -5,6 +5,8 @@
 import json
 import logging
 import sys
+import time
+from collections.abc import Callable
 
 _PLAIN = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime", "taskName"}
 
@@ -34,3 +36,35 @@
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValueFormatter())
     logging.basicConfig(level=level, handlers=[handler], force=True)
+
+
+class Seldom:
+    """Logs what peers can cause at will: each event at most so often, with the count of those left out.
+
+    Guards the log, and the time that it costs, against peers that do the same thing without end.
+    """
+
+    MOST = 10  # records of an event in a second
+
+    def __init__(self, log: logging.Logger, now: Callable[[], float] = time.monotonic) -> None:
+        self._log = log
+        self._now = now
+        self._seen: dict[str, tuple[int, int]] = {}  # by event: the second, and its records
+
+    def info(self, event: str, **fields: object) -> None:
+        self._write(logging.INFO, event, fields)
+
+    def warning(self, event: str, **fields: object) -> None:
+        self._write(logging.WARNING, event, fields)
+
+    def _write(self, level: int, event: str, fields: dict[str, object]) -> None:
+        second = int(self._now())
+        last, count = self._seen.get(event, (second, 0))
+        if last == second and count >= self.MOST:
+            self._seen[event] = (last, count + 1)
+            return
+        skipped = count - self.MOST if last != second else 0
+        if skipped > 0:
+            fields["skipped"] = skipped
+        self._seen[event] = (second, 1 if last != second else count + 1)
+        self._log.log(level, event, extra=fields)
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -4,6 +4,7 @@
 
 import logging
 import signal
+import socket
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
@@ -18,7 +19,7 @@
 from puffinford.fronts.channels.submitter import ChannelSubmitters
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.lines.submitter import LineSubmitters
-from puffinford.fronts.sockets import Handler, accept_all, bind, local_address
+from puffinford.fronts.sockets import Budget, Door, Handler, accept_all, bind, local_address
 from puffinford.machines.discovery import DiscoveryWatch
 from puffinford.machines.inventory import InventoryFile
 
@@ -50,8 +51,11 @@
         self._config = config
         self._clock = clock
         self._load = load
-        self._line_servers = LineServers(clock, config.settings.connect_timeout)
-        self._channel_servers = ChannelServers(clock, config.settings.connect_timeout)
+        self._budget = Budget(config.limits.sockets)
+        self._door = Door(clock, self._budget)
+        connect_timeout = config.settings.connect_timeout
+        self._line_servers = LineServers(clock, self._budget, connect_timeout)
+        self._channel_servers = ChannelServers(clock, self._budget, connect_timeout)
         sides: dict[str, ServerSide] = {"lines": self._line_servers, "channels": self._channel_servers}
         self._exchange = Exchange(config.settings, config.seed, clock, sides)
         self._source: DiscoveryWatch | InventoryFile
@@ -64,14 +68,14 @@
             self._source = DiscoveryWatch(
                 config.discovery, config.known, clock, self._exchange.take_list, unprompted
             )
-        self._lines = Front("lines", LineSubmitters(self._exchange, clock).handle)
-        self._channels = Front("channels", ChannelSubmitters(self._exchange, clock).handle)
+        self._lines = Front("lines", LineSubmitters(self._exchange, self._door).handle)
+        self._channels = Front("channels", ChannelSubmitters(self._exchange, self._door).handle)
         self._tasks: anyio.abc.TaskGroup
         self._draining = False
 
     async def run(self) -> None:
         signums = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        listeners = await self._bind(self._config)
+        listeners = self._bind(self._config)
         with anyio.open_signal_receiver(*signums) as signals:
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
@@ -87,7 +91,7 @@
         """Take signals until one ends the process. A reload may come during a drain, and before one."""
         async for signum in signals:
             if signum == signal.SIGHUP:
-                await self._reload()
+                self._reload()
                 continue
             log.info("stopping", extra={"signal": signal.Signals(signum).name})
             if signum != signal.SIGTERM or self._draining:
@@ -107,21 +111,20 @@
     def _wanted(self, config: Config) -> list[tuple[Front, tuple[str, int] | None]]:
         return [(self._lines, config.listen), (self._channels, config.channels)]
 
-    async def _bind(self, config: Config) -> list[tuple[Front, list[anyio.abc.SocketListener]]]:
+    def _bind(self, config: Config) -> list[tuple[Front, socket.socket]]:
         """Listeners where a front's address is new; raises OSError, and then none is left open."""
-        made: list[tuple[Front, list[anyio.abc.SocketListener]]] = []
+        made: list[tuple[Front, socket.socket]] = []
         try:
             for front, address in self._wanted(config):
                 if address is not None and address != front.address:
-                    made.append((front, await bind(address)))
+                    made.append((front, bind(address)))
         except OSError:
-            for _, listeners in made:
-                for listener in listeners:
-                    await listener.aclose()
+            for _, listener in made:
+                listener.close()
             raise
         return made
 
-    def _listen(self, made: list[tuple[Front, list[anyio.abc.SocketListener]]]) -> None:
+    def _listen(self, made: list[tuple[Front, socket.socket]]) -> None:
         """Listen at the new addresses and no longer at those that are not wanted."""
         for front, address in self._wanted(self._config):
             if address != front.address:
@@ -129,26 +132,24 @@
                 if front.scope is not None:
                     front.scope.cancel()
                 front.scope = anyio.CancelScope()
-        for front, listeners in made:
+        for front, listener in made:
             assert front.scope is not None
-            for listener in listeners:
-                self._tasks.start_soon(
-                    accept_all, listener, front.handle, self._clock, self._tasks, front.scope
-                )
-                told = {"balancer": self._config.name, "front": front.name, "listen": local_address(listener)}
-                log.info("serving", extra=told)
+            self._tasks.start_soon(accept_all, listener, front.handle, self._door, self._tasks, front.scope)
+            told = {"balancer": self._config.name, "front": front.name, "listen": local_address(listener)}
+            log.info("serving", extra=told)
 
     # A new configuration
 
-    async def _reload(self) -> None:
+    def _reload(self) -> None:
         """Take a new configuration whole or not at all; connections and what is known of servers stay."""
         try:
             config = self._load()
-            made = await self._bind(config)
+            made = self._bind(config)
         except (BadConfig, OSError) as exc:
             log.error("reload failed", extra={"error": str(exc)})
             return
         self._config = config
+        self._budget.limit = config.limits.sockets
         self._exchange.configure(config.settings)
         self._line_servers.connect_timeout = config.settings.connect_timeout
         self._channel_servers.connect_timeout = config.settings.connect_timeout
