Take back the blame for a request that every server answers with an error

Seen on rude+fleet: an opening in perfect form, answered ERR by four servers in 3 ms; the id of a request that is open at another balancer. balance._on_outcome marked all four unreachable, and the next clients had one server of five.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -126,7 +126,7 @@
     """One request, from its arrival to its final answer or the end of its connection."""
 
     __slots__ = (
-        "backend", "came_back", "cls", "deadline", "group", "id", "key", "load", "midflow", "risk",
+        "backend", "blamed", "came_back", "cls", "deadline", "group", "id", "key", "load", "midflow", "risk",
         "risk_at", "sent", "sent_at", "standing", "tried",
     )  # fmt: skip
 
@@ -144,6 +144,7 @@
         self.backend: Backend | None = None  # where the present attempt or the connection is
         self.standing = False
         self.tried: list[Backend] = []
+        self.blamed: list[Backend] = []  # those that answered it with an error
         self.risk: Backend | None = None  # where an earlier attempt may have run
         self.risk_at = 0.0
 
@@ -429,6 +430,8 @@
             self._take_report(backend, event.report)
             if result is not Result.OK and result is not Result.CANCELLED and result is not Result.MOOT:
                 self._failure(backend)
+                if result is Result.ERROR:
+                    flow.blamed.append(backend)
             elif backend.trial:
                 backend.trial = False
                 self._schedule_trial(backend)
@@ -880,7 +883,21 @@
         backend.trial = True
         return backend
 
+    def _absolve(self, flow: Flow) -> None:
+        """Take back the blame for a request that every server it went to answered with an error.
+
+        Guards against a request that no server can use: it would leave most of a small fleet unreachable.
+        """
+        if len(flow.blamed) < 2 or len(flow.blamed) < flow.sent:
+            return
+        for backend in flow.blamed:
+            if backend.down and backend.failures == 1 and not backend.trial:
+                backend.down = False
+                backend.failures = 0
+        self._set_until = -1.0
+
     def _finish(self, flow: Flow) -> None:
+        self._absolve(flow)
         self._release(flow)
         del self._flows[flow.id]
         if flow.may_be_refused():
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -12,7 +12,7 @@
 from puffinford.fronts.channels import codec, mux
 from puffinford.fronts.sockets import Budget, Door, connect
 from puffinford.logs import Seldom
-from tests.stage import ChannelPeer, Peer, echo, opening, stage
+from tests.stage import ChannelPeer, Peer, answering, echo, opening, stage
 
 pytestmark = pytest.mark.anyio
 
@@ -89,6 +89,16 @@
         assert here.exchange._balancer._load == 0.0
 
 
+async def test_a_request_that_every_server_answers_err_makes_no_server_unreachable() -> None:
+    """The id of another balancer's open request is in use everywhere; four of five servers were left out."""
+    async with stage() as here:
+        for ident in ("s-1", "s-2", "s-3"):
+            await here.server(ident, answering(b"ERR in use"))
+        client = await here.client(GOOD)
+        assert (await client.line()).startswith(b"BUSY ")
+        assert not any(b.down for b in here.exchange._balancer._fleet.backends.values())
+
+
 @pytest.mark.parametrize("front", ["lines", "channels"])
 async def test_silent_connections_give_way_to_those_that_ask(front: str) -> None:
     """Hundreds that said nothing held every descriptor, and nobody was served from then on."""
