Shed most connections of a late server at once, and spread a sick server's group

Checked: ups, ends and slow notes by server and second in the logs. The cold rule was ruled out (the settings say warm in 1 s there), and so was the reload itself (the list is there 1 ms after SIGHUP). At fault: balance._move_one moves one connection a note, and none that came back within 10 s, which is everyone after a restart; _group_set sends all clients of a sick server to the next one.

Now seven tenths go at a note, shared by the late servers, and the group of a server that is out spreads over one more. Ruled out by figures: bounds on a server's own load in a group's prefix (docs/design.md).

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -53,7 +53,8 @@
 RETRY_MOST = 8_000.0  # longest wait before a trial; a restart takes seconds
 SLOW_FOR = 3_000.0  # a note of slow messages comes each second while it lasts: three missed, it is over
 RATE_OVER = 20_000.0  # ends of own connections are averaged over this long, so that a burst counts little
-MOVE_REST = 10_000.0  # a client that came back is left alone this long: its move must pay first
+MOVE_PART = 0.7  # of the own connections of a late server, moved each note, shared by the late ones
+MOVE_REST = 3_000.0  # a client that came back is left alone this long: its move must pay first
 USED_FIELDS = ("x0", "utilization")  # reported load over capacity; the first can tell more than full
 FULL_FROM = 0.95  # a server that uses this much of its capacity is passed over ...
 FULL_UNTIL = 0.85  # ... until it is back at this
@@ -474,33 +475,35 @@
         backend.late_notes = backend.late_notes + 1 if backend.late_at > self._now - SLOW_FOR else 1
         backend.late_at = self._now
         if self._limit == float("inf"):
-            self._move_one(backend)
+            self._move_some(backend)
         if backend.late_notes >= 2 and not falling:
             backend.late_until = self._now + SLOW_FOR
             if not self._limiting:
                 self._limiting = True
                 self._timers.at(self._now, self._watch_limit)
 
-    def _move_one(self, backend: Backend) -> None:
-        """Move the connection that suffers most off a server whose messages are late.
+    def _move_some(self, backend: Backend) -> None:
+        """Move the connections that suffer most off a server whose messages are late.
 
         Guards against a server that lost capacity or drew heavy connections: these last longer than
-        a day's trouble, so new connections alone cannot relieve it. One a note, a note a second.
+        a day's trouble, so new connections alone cannot relieve it. Nobody there is served in time, so
+        most go at once; fewer where several servers are late, for then the others have less room.
         """
         entries = self._working_set()
         if not entries or (len(entries) == 1 and entries[0] is backend):
             return
-        worst: Flow | None = None
-        worst_key = (0.0, 0.0)
         rested = self._now - MOVE_REST
-        for flow in backend.flows.values():
-            if not flow.standing or (flow.came_back and flow.sent_at > rested):
-                continue
-            key = (flow.cls.message_aim, -flow.load)
-            if worst is None or key < worst_key:
-                worst, worst_key = flow, key
-        if worst is not None and backend.delay > worst.cls.message_aim:
-            self._close(worst)
+        moved = [
+            flow
+            for flow in backend.flows.values()
+            if flow.standing
+            and backend.delay > flow.cls.message_aim
+            and not (flow.came_back and flow.sent_at > rested)
+        ]
+        moved.sort(key=lambda flow: (flow.cls.message_aim, -flow.load))
+        late = sum(b.late_at > self._now - SLOW_FOR for b in self._fleet.order)
+        for flow in moved[: max(1, int(MOVE_PART * len(backend.flows) / max(1, late)))]:
+            self._close(flow)
 
     def _on_left(self, event: ClientLeft) -> None:
         flow = self._flows.pop(event.id, None)
@@ -683,6 +686,9 @@
                 chosen.append(backend)
                 if len(chosen) >= want:
                     break
+            elif step < want:
+                # Guards the next server against all the clients of one that is sick.
+                want += 1
         first = self._settings.me * len(chosen) // self._settings.balancers
         return chosen[first:] + chosen[:first]
 
