Fill no server past what made its messages late, and none that is far fuller than others

Ruled out: list age, claims lost (0 in the log). At fault: balance._group_set and _compare know only own counts, not what a server has shown it can carry.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -48,13 +48,18 @@
 
 PREFIX = 3  # entries of the working set where balancers far outnumber servers
 COVER = 4  # balancers that should have each server in their working set, so that none hangs on few
+GROUP_OVER = 2.5  # own load, as a multiple of the mean, at which a group passes a server over
+GROUP_ROOM = 4.0  # own load, in mean connections, that is never too much for a server
+ROOM_CUT = 0.8  # of the own load at which messages were late is taken for what a server can carry
+ROOM_FOR = 30_000.0  # what late messages have told of a server's room is forgotten after this
+ROOM_GROWTH = 1.02  # a second, for load and capacity change
 GROUP_PRIOR = 20  # connections that a group's part is judged against before enough were seen
 RETRY_FIRST = 500.0  # first wait before a trial; about a client's patience, short against a restart
 RETRY_MOST = 8_000.0  # longest wait before a trial; a restart takes seconds
 SLOW_FOR = 3_000.0  # a note of slow messages comes each second while it lasts: three missed, it is over
 RATE_OVER = 20_000.0  # ends of own connections are averaged over this long, so that a burst counts little
 MOVE_PART = 0.7  # of the own connections of a late server, moved each note, shared by the late ones
-MOVE_REST = 3_000.0  # a client that came back is left alone this long: its move must pay first
+MOVE_REST = 2_000.0  # a client that came back is left alone this long: its move must pay first
 USED_FIELDS = ("x0", "utilization")  # reported load over capacity; the first can tell more than full
 FULL_FROM = 0.95  # a server that uses this much of its capacity is passed over ...
 FULL_UNTIL = 0.85  # ... until it is back at this
@@ -92,7 +97,7 @@
     __slots__ = (
         "cell", "cold_from", "credit", "credit_at", "delay", "down", "failures", "flows", "id",
         "late_at", "late_notes", "late_until", "listed", "load", "probed_at", "reach", "retry_at",
-        "size", "slow_until", "started", "trial", "used", "used_at", "used_since", "zone",
+        "room", "room_at", "size", "slow_until", "started", "trial", "used", "used_at", "used_since", "zone",
     )  # fmt: skip
 
     def __init__(self, server: Server) -> None:
@@ -112,6 +117,8 @@
         self.slow_until = 0.0  # messages there take long
         self.late_until = 0.0  # they have come too late for more than a moment
         self.late_at = float("-inf")
+        self.room = float("inf")  # own load that it can carry, as late messages have shown ...
+        self.room_at = float("-inf")  # ... at that time
         self.late_notes = 0  # notes of late messages in a row
         self.delay = 0.0
         self.used = 0.0  # reported load over capacity
@@ -471,6 +478,8 @@
             backend.late_notes = 0
             backend.late_until = 0.0
             return
+        backend.room = min(self._room(backend), max(1.0, ROOM_CUT * backend.load))
+        backend.room_at = self._now
         # One late note can be a pause; two in a row, a second apart, are more work than it can do.
         backend.late_notes = backend.late_notes + 1 if backend.late_at > self._now - SLOW_FOR else 1
         backend.late_at = self._now
@@ -641,6 +650,13 @@
     def _usable(self, backend: Backend) -> bool:
         return not backend.down and backend.slow_until <= self._now
 
+    def _room(self, backend: Backend) -> float:
+        """The own load that a server can be counted on to carry, as far as late messages have told."""
+        if self._now >= backend.room_at + ROOM_FOR:
+            return float("inf")
+        grown: float = ROOM_GROWTH ** ((self._now - backend.room_at) / 1_000.0)
+        return backend.room * grown
+
     def _working_set(self) -> list[Backend]:
         """The short prefix of reachable entries; cold ones come on top, they can take only little."""
         now = self._now
@@ -680,9 +696,10 @@
         want = max(1, min(size, round(part * size)))
         start = int(mixed(group) * size)
         chosen: list[Backend] = []
+        most = max(GROUP_ROOM, GROUP_OVER * self._load / size)
         for step in range(size):
             backend = common[(start + step) % size]
-            if self._usable(backend):
+            if self._usable(backend) and backend.load <= min(most, self._room(backend)):
                 chosen.append(backend)
                 if len(chosen) >= want:
                     break
@@ -732,7 +749,10 @@
         fit = [
             b
             for b in entries
-            if (b.cold_from is None or self._fits_cold(b)) and b not in tried and flow.may_go_to(b, now)
+            if (b.cold_from is None or self._fits_cold(b))
+            and b not in tried
+            and b.load <= self._room(b)
+            and flow.may_go_to(b, now)
         ]
         if not fit:
             return None
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -456,6 +456,27 @@
     assert len({script.open(f"c{n}", group=7) for n in range(12)}) == 2
 
 
+def test_a_server_is_not_filled_again_past_what_made_its_messages_late() -> None:
+    script = Script(settings(balancers=1), 3)
+    for n in range(40):
+        script.play(Inherited(Request(f"r{n}", "safe", 0.0), f"10.0.0.{n % 4}:80"))
+    script.play(DelayNote("r0", "10.0.0.0:80", 500.0))
+    script.play(DelayNote("r0", "10.0.0.0:80", 5.0))
+    homes = [script.open(f"s{n}") for n in range(60)]
+    assert 0 < homes.count("10.0.0.0:80") <= 6, "three were left there, and eight are its room"
+    script.play(after=30_001.0)  # forgotten: capacity may have come back
+    assert [script.open(f"t{n}") for n in range(12)].count("10.0.0.0:80") >= 4
+
+
+def test_a_group_passes_over_a_server_that_holds_far_more_than_others() -> None:
+    """After a restart ninety of a hundred and sixty clients met at one server, and others stood empty."""
+    script = Script(settings(grouped=True, balancers=1), 3)
+    home = script.open("a", group=7)
+    for n in range(30):
+        script.play(Inherited(Request(f"r{n}", "safe", 0.0), home))
+    assert home not in {script.open(f"b{n}", group=7) for n in range(6)}
+
+
 def test_a_full_fleet_is_relieved_of_what_is_worth_least() -> None:
     dear = replace(SAFE, name="dear", value=5.0)
     script = Script(settings(classes=[SAFE, dear], balancers=1), 4)
