--- a/puffinford/machines/discovery.py
+++ b/puffinford/machines/discovery.py
@@ -16,7 +16,7 @@
 
 log = logging.getLogger(__name__)
 
-WAIT = 20_000  # how long a watch call may wait at discovery
+WAIT = 5_000  # how long a watch call may wait at discovery: what a call that hangs holds back
 LATE = 1_500.0  # after its wait a call that has no answer has failed; the rules count 2 s as told
 MOVED_FOR = 4_000.0  # after a move its news counts as told; until then a failed call is repeated soon
 MOVED_RETRY = 250.0
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -333,7 +333,7 @@
         await anyio.wait_all_tasks_blocked()
         watch.subscribe(True)
         await heard.wait()
-        assert asked[0] == b"GET /v1/servers?index=0&wait=20000 HTTP/1.1\r\n"
+        assert asked[0] == b"GET /v1/servers?index=0&wait=5000 HTTP/1.1\r\n"
         first = lists[0]
         assert (first and [m.server.id for m in first.machines]) == taken
 
