Try servers that only broke a connection before turning clients away

Logged the reason of each refusal without a claim: "all down or cold": after a crash of two servers, resets of single connections put the other three out for 250 to 500 ms, and one whose new connection was reset counted as cold for 23 s, since a trial had not been taken. Ruled out: the limit on own load, attempts, deadlines, the line front (no bad first lines). At fault: balance._pick and _last_resort refuse while a server is up but cold without room; _on_established.

Now a server that took no connection for 1.5 s counts as cold, and one that only broke a connection is the last choice.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -56,6 +56,7 @@
 ROOM_GROWTH = 1.02  # a second, for load and capacity change
 GROUP_PRIOR = 20  # connections that a group's part is judged against before enough were seen
 RETRY_FIRST = 500.0  # first wait before a trial; about a client's patience, short against a restart
+AWAY_FOR = 1_500.0  # a server that took no connection for so long may have restarted; it takes seconds
 RETRY_MOST = 8_000.0  # longest wait before a trial; a restart takes seconds
 SLOW_FOR = 3_000.0  # a note of slow messages comes each second while it lasts: three missed, it is over
 RATE_OVER = 20_000.0  # ends of own connections are averaged over this long, so that a burst counts little
@@ -96,7 +97,7 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "away", "cell", "cold_from", "credit", "credit_at", "delay", "down", "failures", "flows", "id",
+        "away_at", "cell", "cold_from", "credit", "credit_at", "delay", "down", "failures", "flows", "id",
         "late_at", "late_notes", "late_until", "listed", "load", "probed_at", "reach", "retry_at",
         "room", "room_at", "size", "slow_until", "started", "trial", "used", "used_at", "used_since", "zone",
     )  # fmt: skip
@@ -112,7 +113,7 @@
         self.flows: dict[str, Flow] = {}  # own connections and attempts, by request id
         self.load = 0.0  # their load, in mean connections
         self.down = False  # unreachable until a trial stands
-        self.away = False  # and it took no connection meanwhile
+        self.away_at: float | None = None  # since when it has taken no connection, if it was tried
         self.failures = 0
         self.retry_at = 0.0
         self.trial = False  # a trial is out
@@ -422,13 +423,15 @@
             backend.down = False
             backend.failures = 0
             # Guards against a server that came back before the list said so: it may be cold. One that
-            # broke a connection or answered amiss, and took the next, was never away.
-            if backend.away and backend.cold_from is None and self._settings.warm_time > 0:
+            # broke a connection or answered amiss, and soon took the next, was never away.
+            away = backend.away_at is not None and self._now >= backend.away_at + AWAY_FOR
+            if away and backend.cold_from is None and self._settings.warm_time > 0:
                 backend.cold_from = self._now
                 backend.credit = 0.0
                 backend.credit_at = self._now
             self._set_until = -1.0
-        backend.trial = backend.away = False
+        backend.trial = False
+        backend.away_at = None
 
     def _on_outcome(self, event: Outcome) -> None:
         flow = self._flows.get(event.id)
@@ -441,7 +444,8 @@
             self._take_report(backend, event.report)
             if result is not Result.OK and result is not Result.CANCELLED and result is not Result.MOOT:
                 self._failure(backend)
-                backend.away |= result is Result.CONNECT_FAILED
+                if result is Result.CONNECT_FAILED and backend.away_at is None:
+                    backend.away_at = self._now
                 if result is Result.ERROR:
                     flow.blamed.append(backend)
             elif backend.trial:
@@ -742,17 +746,20 @@
         if chosen is not None:
             return chosen
         # Every entry of the prefix is spent for this request: the rest of the order, slow ones last.
-        slow = None
+        slow = shaken = None
         for backend in self._fleet.order:
-            if backend.down or backend in flow.tried or not flow.may_go_to(backend, now):
-                continue
-            if not self._fits_cold(backend):
+            if backend in flow.tried or not flow.may_go_to(backend, now) or not self._fits_cold(backend):
                 continue
-            if backend.slow_until <= now:
+            if backend.down:
+                # Guards the clients against being turned away while servers run that have only broken
+                # a connection: several in a second left a small fleet with none to go to.
+                if backend.away_at is None and not backend.trial and shaken is None:
+                    shaken = backend
+            elif backend.slow_until <= now:
                 return backend
-            if slow is None or backend.delay < slow.delay:
+            elif slow is None or backend.delay < slow.delay:
                 slow = backend
-        return slow
+        return slow or shaken
 
     def _compare(self, flow: Flow, entries: list[Backend]) -> Backend | None:
         """The head against one random other: fewer own open connections win, ties to the head."""
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -393,6 +393,14 @@
     assert (script.balancer._fleet.backends[first].cold_from is not None) is away
 
 
+def test_servers_that_only_broke_a_connection_are_better_than_none() -> None:
+    script = Script(settings(), 2)
+    homes = [script.open(f"r{n}") for n in range(2)]
+    for n, home in enumerate(homes):
+        script.end(f"r{n}", home, Result.RESET, closed=True)
+    assert kinds(script.ask("a")) == ["Attempt"], "no time has passed"
+
+
 def test_connections_that_a_server_drops_together_count_as_one_failure() -> None:
     script = Script(settings(), 1)
     first = script.open("r0")
