--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -382,6 +382,14 @@
     def _do(self, action: Action) -> None:
         self._actions.append(action)
 
+    def excluded(self, now: float) -> set[str]:
+        """The servers that get no ordinary new connection now, for whatever reason."""
+        return {
+            ident
+            for ident, backend in self._fleet.backends.items()
+            if backend.listed is not ServerState.LIVE or backend.down or backend.slow_until > now
+        }
+
     # Events
 
     def _on_list(self, event: ServerList) -> None:
--- a/puffinford/config.py
+++ b/puffinford/config.py
@@ -45,6 +45,7 @@
     inventory: Path | None = None
     limits: Limits = Limits()
     channels: tuple[str, int] | None = None  # where the channel front listens
+    mgmt: tuple[str, int] | None = None  # the second address
 
 
 def _reject(text: str) -> None:
@@ -127,6 +128,9 @@
         # Guards a reload against the address that the process was started with: the file has moved on.
         if env.get(f"EDGE_{name.upper()}") and not (again and name in told):
             told[name] = env[f"EDGE_{name.upper()}"]
+    if env.get("EDGE_MGMT"):
+        # Guards the second address of a new version, which the file of both versions cannot tell.
+        told["mgmt"] = env["EDGE_MGMT"]
     listen = _address(told, "listen")
     if listen is None:
         raise BadConfig("listen: missing")
@@ -156,6 +160,5 @@
         raise BadConfig("discovery: missing, and no inventory is given")
     name = str(told.get("name", ""))
     limits = _limits(told.get("limits"))
-    return Config(
-        name, listen, discovery, number, settings, known, inventory, limits, load_channels(channels)
-    )
+    front, mgmt = load_channels(channels), _address(told, "mgmt")
+    return Config(name, listen, discovery, number, settings, known, inventory, limits, front, mgmt)
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -9,6 +9,7 @@
 import logging
 import random
 from collections.abc import Mapping
+from functools import partial
 
 import anyio
 import anyio.abc
@@ -17,6 +18,7 @@
 from puffinford.balance import Balancer, stable_hash
 from puffinford.core.clock import Clock
 from puffinford.core.delays import DelayMeter, Unanswered
+from puffinford.core.figures import Count, Figures
 from puffinford.core.values import (
     Broken,
     Busy,
@@ -112,6 +114,8 @@
         self._clock = clock
         self._sides = sides
         self._balancer = Balancer(settings, seed)
+        self.figures = Figures()
+        self.informed = False  # the machine list's source has been heard of, and there is a list
         self._take_settings(settings)
         self._rng = random.Random(seed ^ 0x5EED)
         self._machines: dict[str, Machine] = {}
@@ -142,6 +146,7 @@
     def _take_settings(self, settings: it.Settings) -> None:
         self._settings = settings
         self._classes = {cls.name for cls in settings.classes}
+        self.figures.know(cls.name for cls in settings.classes)
         self._meter = DelayMeter(
             min((c.message_aim for c in settings.classes if c.message_aim > 0), default=0.0)
         )
@@ -152,6 +157,20 @@
             self._take_settings(settings)
             self._balancer.configure(settings)
 
+    @property
+    def serving(self) -> bool:
+        """Whether an arrival would be served."""
+        return not self._leaving
+
+    def gauges(self) -> dict[str, int]:
+        """What stands now; what is left out is the module's word."""
+        excluded = self._balancer.excluded(self._clock.now())
+        return {
+            "in_flight": len(self._jobs),
+            "servers_known": len(self._machines),
+            "servers_excluded": len(excluded & self._machines.keys()),
+        }
+
     # The machine list
 
     def take_list(self, machines: MachineList | None) -> None:
@@ -160,6 +179,7 @@
             self._tell(it.ServerList(it.ListKind.UNAVAILABLE))
         else:
             self._take(machines, it.ListKind.REPLACE if machines.full else it.ListKind.UPDATE)
+        self.informed |= machines is not None or bool(self._machines)
 
     def _take(self, machines: MachineList, kind: it.ListKind) -> None:
         if kind is not it.ListKind.UPDATE:
@@ -250,9 +270,9 @@
         if opening.cls not in self._classes:
             return await self._refuse(submitter, Failed("unknown class"))
         if opening.job in self._jobs:
-            return await self._refuse(submitter, Failed("id in use"))
+            return await self._refuse(submitter, Failed("id in use"), opening.cls)
         if self._leaving:
-            return await self._refuse(submitter, Busy(self._settings.max_retry_after))
+            return await self._refuse(submitter, Busy(self._settings.max_retry_after), opening.cls)
         job = self._jobs[opening.job] = Job(opening, submitter, self._clock.now() + opening.wait)
         try:
             async with anyio.create_task_group() as tasks:
@@ -343,7 +363,7 @@
             if server is not None:
                 tasks.start_soon(server.abort if ending.broken or ending.answer else server.end)
             if ending.answer is not None:
-                await self._refuse(submitter, ending.answer)
+                await self._refuse(submitter, ending.answer, job.opening.cls)
                 return
             if ending.broken:
                 await submitter.abort()
@@ -359,11 +379,15 @@
                     return
             await submitter.end()
 
-    async def _refuse(self, submitter: SubmitterLeg, answer: Busy | Failed) -> None:
+    async def _refuse(self, submitter: SubmitterLeg, answer: Busy | Failed, cls: str | None = None) -> None:
+        """Give the final answer, and count it where it is one of a known class."""
         try:
             await submitter.answer(answer)
         except Broken:
             await submitter.abort()
+            return
+        if cls is not None:
+            self.figures.add(cls, Count.REFUSED if isinstance(answer, Busy) else Count.FAILED)
 
     # The submitter's side of a job
 
@@ -433,7 +457,8 @@
         with claim.scope:
             try:
                 side = self._sides[claim.machine.front]
-                claim.leg, up = await side.claim(claim.machine, job.opening, wait)
+                sent = partial(self.figures.add, job.opening.cls, Count.ATTEMPTS)
+                claim.leg, up = await side.claim(claim.machine, job.opening, wait, sent)
             except ClaimEnded as exc:
                 ended = exc
         return up, ended
@@ -463,6 +488,7 @@
         try:
             for message in messages:
                 await job.submitter.send(message)
+            self.figures.add(job.opening.cls, Count.SERVED)
         except Broken:
             pass
 
@@ -507,6 +533,7 @@
                 await job.submitter.answer(up)
             except Broken:
                 return  # the listener hears it too
+            self.figures.add(job.opening.cls, Count.SERVED)
             while True:
                 message = await leg.receive()
                 if message.kind is Kind.NOTE:
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -167,8 +168,13 @@
 
 
 class ServerSide(Protocol):
-    async def claim(self, machine: Machine, opening: Opening, wait: float) -> tuple[Leg, Up]:
-        """Make a claim; raises ClaimEnded with its result, TIMEOUT after `wait`."""
+    async def claim(
+        self, machine: Machine, opening: Opening, wait: float, sent: Callable[[], None]
+    ) -> tuple[Leg, Up]:
+        """Make a claim; raises ClaimEnded with its result, TIMEOUT after `wait`.
+
+        `sent` is called once the last byte of the opening has been written.
+        """
 
     async def probe(self, machine: Machine, wait: float) -> Result: ...
 
--- a/puffinford/fronts/channels/mux.py
+++ b/puffinford/fronts/channels/mux.py
@@ -54,7 +54,8 @@
         self.open = False  # its open was confirmed
         self.settled = anyio.Event()  # the open is answered, or the connection is gone
         self.cancelled = False
-        self.sent_open = False  # its last byte was written
+        self.sent_open = False  # its last byte was written ...
+        self.on_sent: Callable[[], None] | None = None  # ... which is told here
         self._window_in = WINDOW
         self._window_out = 0
         self._packet_most = 0
@@ -410,13 +411,14 @@
         self.post(codec.OpenFailure(channel.remote, reason, description))
         self.forget(channel)
 
-    async def open(self, extra: bytes) -> Channel:
-        """Open a channel; it is settled once the peer has answered."""
+    async def open(self, extra: bytes, sent: Callable[[], None]) -> Channel:
+        """Open a channel; it is settled once the peer has answered. `sent` hears that the open is out."""
         if self.over:
             raise Broken("connection over")
         if len(self._channels) >= CHANNELS_MOST:
             raise Refused(codec.RESOURCE_SHORTAGE, "too many channels")
         channel = self._new()
+        channel.on_sent = sent
         self.post(codec.ChannelOpen(codec.JOB, channel.local, WINDOW, codec.PAYLOAD_MOST, extra))
         self._control.append(channel)  # marks it as sent once the writer has passed it
         return channel
@@ -466,6 +468,8 @@
                         await self._wire.write(bytes(batch))
                     for channel in sent:
                         channel.sent_open = True
+                        if channel.on_sent is not None:
+                            channel.on_sent()
                 await self._work.wait()
         except Broken:
             pass  # the reader hears it too
--- a/puffinford/fronts/channels/server.py
+++ b/puffinford/fronts/channels/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -54,7 +55,9 @@
             raise ClaimEnded(Result.CONNECT_FAILED)
         return mux
 
-    async def claim(self, machine: Machine, opening: Opening, wait: float) -> tuple[ChannelLeg, Up]:
+    async def claim(
+        self, machine: Machine, opening: Opening, wait: float, sent: Callable[[], None]
+    ) -> tuple[ChannelLeg, Up]:
         started = self._clock.now()
         mux = None
         with self._clock.limit(min(wait, self.connect_timeout)):
@@ -63,7 +66,7 @@
             raise ClaimEnded(Result.CONNECT_FAILED)
         left = wait - (self._clock.now() - started)
         try:
-            channel = await mux.open(encode_opening(opening, left))
+            channel = await mux.open(encode_opening(opening, left), sent)
         except (Broken, Refused):
             raise ClaimEnded(Result.CONNECT_FAILED) from None
         standing = False
--- a/puffinford/fronts/lines/server.py
+++ b/puffinford/fronts/lines/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from puffinford.core.clock import Clock
 from puffinford.core.values import Broken, ClaimEnded, Ended, Machine, Opening, Up
 from puffinford.fronts.lines import codec
@@ -28,7 +30,9 @@
             raise ClaimEnded(Result.CONNECT_FAILED)
         return wire
 
-    async def claim(self, machine: Machine, opening: Opening, wait: float) -> tuple[LineLeg, Up]:
+    async def claim(
+        self, machine: Machine, opening: Opening, wait: float, sent: Callable[[], None]
+    ) -> tuple[LineLeg, Up]:
         started = self._clock.now()
         wire = await self._connect(machine, wait)
         leg = LineLeg(wire)
@@ -41,6 +45,7 @@
                 await wire.write(codec.encode_opening(opening, left))
             except Broken:
                 raise ClaimEnded(Result.CONNECT_FAILED) from None
+            sent()
             with self._clock.limit(left):
                 try:
                     line = await leg.read_line()
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -37,6 +37,8 @@
 BACKLOG = 1024
 WAITING_PART = 4  # connections without a job may hold this part of the descriptors: one of four
 RESERVE = 32  # descriptors for discovery, the listeners, the program's own files and a turn of accepting
+MGMT_MOST = 16  # descriptors that callers of the second address may hold; no client ever gets them
+MGMT_TURN = 4  # of its callers accepted at a time, and held beyond those while the quietest go
 OWN_LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 
 
@@ -45,16 +47,17 @@
 
 
 class Budget:
-    """The one count of the sockets that are open, against what the configuration allows."""
+    """A count of the sockets that are open, against a limit of which a part is kept for other things."""
 
-    def __init__(self, limit: int = 1024) -> None:
+    def __init__(self, limit: int = 1024, reserve: int = RESERVE) -> None:
         self.limit = limit
+        self.reserve = reserve
         self.used = 0
 
     @property
     def full(self) -> bool:
         """Whether one more client and its server would not fit."""
-        return self.used + 2 > self.limit - RESERVE
+        return self.used + 2 > self.limit - self.reserve
 
 
 class Wire:
@@ -223,9 +226,10 @@
     that wants something says so at once.
     """
 
-    def __init__(self, clock: Clock, budget: Budget) -> None:
+    def __init__(self, clock: Clock, budget: Budget, part: int = WAITING_PART) -> None:
         self.clock = clock
         self.budget = budget
+        self._part = part
         self._waiting: dict[object, anyio.CancelScope] = {}
 
     @contextmanager
@@ -242,7 +246,7 @@
     def make_room(self) -> bool:
         """Send the oldest away where there is no room for one more; tells whether there is room now."""
         scopes = [scope for scope in self._waiting.values() if not scope.cancel_called]
-        crowd = len(scopes) - max(1, self.budget.limit // WAITING_PART) + 1
+        crowd = len(scopes) - max(1, self.budget.limit // self._part) + 1
         going = max(crowd, int(self.budget.full))
         for scope in scopes[: max(0, going)]:
             scope.cancel()
@@ -267,6 +271,7 @@
     door: Door,
     tasks: anyio.abc.TaskGroup,
     scope: anyio.CancelScope,
+    turn: int = ACCEPT_TURN,
 ) -> None:
     """Accept until `scope` is cancelled, then listen no more; what was accepted goes on in `tasks`.
 
@@ -284,7 +289,7 @@
     with scope:
         while True:
             await anyio.wait_readable(listener)
-            for _ in range(ACCEPT_TURN):
+            for _ in range(turn):
                 try:
                     sock, _peer = listener.accept()
                 except BlockingIOError:
--- /dev/null
+++ b/puffinford/management/calls.py
@@ -0,0 +1,40 @@
+"""The calls of the second address, and what each is answered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from puffinford.core.exchange import Exchange
+from puffinford.management.http import Call, Reply
+
+
+class Calls:
+    """`lacking` names what this process still lacks to serve; it is empty once nothing does."""
+
+    def __init__(self, exchange: Exchange, lacking: Callable[[], str]) -> None:
+        self._exchange = exchange
+        self._lacking = lacking
+
+    def answer(self, call: Call) -> Reply:
+        match call.path:
+            case ("admin", "health"):
+                method, reply = "GET", self._health
+            case ("admin", "stats"):
+                method, reply = "GET", self._stats
+            case _:
+                return Reply(404, "no such path")
+        if call.method != method:
+            return Reply(405, f"{method} is the method here", allow=method)
+        return reply()
+
+    def _health(self) -> Reply:
+        lack = self._lacking()
+        return Reply(503, f"not ready: {lack}") if lack else Reply(200, "ready")
+
+    def _stats(self) -> Reply:
+        lines = [
+            f"app.requests.{cls}.{count.value}:{number}|c"
+            for cls, count, number in self._exchange.figures.counts()
+        ]
+        lines += [f"app.{name}:{number}|g" for name, number in self._exchange.gauges().items()]
+        return Reply(200, "\n".join(lines))
--- /dev/null
+++ b/puffinford/management/http.py
@@ -0,0 +1,94 @@
+"""One HTTP/1.1 call a connection, through h11."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from urllib.parse import unquote, urlsplit
+
+import h11
+
+from puffinford.core.values import Broken, Ended
+from puffinford.fronts.sockets import Door, Wire
+
+CALL_MOST = 5_000.0  # a caller that has not finished its call by then is closed
+HEAD_MOST = 8_192  # bytes of a call's head
+BODY_MOST = 16_384  # bytes of a body; no call needs one
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    method: str
+    path: tuple[str, ...]  # the parts between slashes, decoded
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    status: int
+    text: str
+    allow: str = ""  # the method that the path takes, with a 405
+
+
+class HttpCalls:
+    """Reads calls and writes what `answer` says to them. Callers that stall hold a place at the door only."""
+
+    def __init__(self, answer: Callable[[Call], Reply], door: Door) -> None:
+        self._answer = answer
+        self._door = door
+
+    async def handle(self, wire: Wire) -> None:
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
+        with self._door.wait(CALL_MOST), contextlib.suppress(Ended, Broken):
+            try:
+                reply = self._answer(await self._read(wire, connection))
+            except h11.RemoteProtocolError as exc:
+                reply = Reply(400, f"cannot be read: {exc}")
+            await wire.write(_encode(connection, reply))
+            await wire.end()
+
+    async def _read(self, wire: Wire, connection: h11.Connection) -> Call:
+        """The whole call; raises RemoteProtocolError, Ended or Broken."""
+        call: Call | None = None
+        body = 0
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                connection.receive_data(await wire.read())
+            elif isinstance(event, h11.Request):
+                call = _call(event)
+            elif isinstance(event, h11.Data):
+                body += len(event.data)
+                if body > BODY_MOST:
+                    raise h11.RemoteProtocolError("the body is too long")
+            elif isinstance(event, h11.EndOfMessage) and call is not None:
+                return call
+            else:
+                raise Ended
+
+
+def _call(request: h11.Request) -> Call:
+    try:
+        path = urlsplit(request.target.decode("ascii")).path
+        parts = tuple(unquote(part, errors="strict") for part in path.split("/")[1:])
+    except ValueError:
+        raise h11.RemoteProtocolError("the target is no path") from None
+    return Call(request.method.decode("ascii"), parts)
+
+
+def _encode(connection: h11.Connection, reply: Reply) -> bytes:
+    body = reply.text.encode() + b"\n"
+    headers = [
+        ("Content-Type", "text/plain; charset=utf-8"),
+        ("Content-Length", str(len(body))),
+        ("Cache-Control", "no-store"),
+        ("Connection", "close"),
+    ]
+    if reply.allow:
+        headers.append(("Allow", reply.allow))
+    pieces = [
+        connection.send(h11.Response(status_code=reply.status, headers=headers)),
+        connection.send(h11.Data(data=body)),
+        connection.send(h11.EndOfMessage()),
+    ]
+    return b"".join(piece or b"" for piece in pieces)
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -19,9 +19,22 @@
 from puffinford.fronts.channels.submitter import ChannelSubmitters
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.lines.submitter import LineSubmitters
-from puffinford.fronts.sockets import Budget, Door, Handler, accept_all, bind, local_address
+from puffinford.fronts.sockets import (
+    ACCEPT_TURN,
+    MGMT_MOST,
+    MGMT_TURN,
+    RESERVE,
+    Budget,
+    Door,
+    Handler,
+    accept_all,
+    bind,
+    local_address,
+)
 from puffinford.machines.discovery import DiscoveryWatch
 from puffinford.machines.inventory import InventoryFile
+from puffinford.management.calls import Calls
+from puffinford.management.http import HttpCalls
 
 log = logging.getLogger(__name__)
 
@@ -40,6 +53,8 @@
 
     name: str
     handle: Handler
+    door: Door
+    turn: int = ACCEPT_TURN
     address: tuple[str, int] | None = None
     scope: anyio.CancelScope | None = None  # ends the listening; what was accepted stays
 
@@ -51,8 +66,8 @@
         self._config = config
         self._clock = clock
         self._load = load
-        self._budget = Budget(config.limits.sockets)
-        self._door = Door(clock, self._budget)
+        self._budget = Budget(config.limits.sockets, RESERVE + MGMT_MOST + MGMT_TURN)
+        door = Door(clock, self._budget)
         connect_timeout = config.settings.connect_timeout
         self._line_servers = LineServers(clock, self._budget, connect_timeout)
         self._channel_servers = ChannelServers(clock, self._budget, connect_timeout)
@@ -68,8 +83,12 @@
             self._source = DiscoveryWatch(
                 config.discovery, config.known, clock, self._exchange.take_list, unprompted
             )
-        self._lines = Front("lines", LineSubmitters(self._exchange, self._door).handle)
-        self._channels = Front("channels", ChannelSubmitters(self._exchange, self._door).handle)
+        self._lines = Front("lines", LineSubmitters(self._exchange, door).handle, door)
+        self._channels = Front("channels", ChannelSubmitters(self._exchange, door).handle, door)
+        # Guards operators against crowds of clients: callers have descriptors of their own.
+        callers = Door(clock, Budget(MGMT_MOST + 1, 0), part=1)
+        calls = HttpCalls(Calls(self._exchange, self._lacking).answer, callers)
+        self._mgmt = Front("management", calls.handle, callers, MGMT_TURN)
         self._tasks: anyio.abc.TaskGroup
         self._draining = False
 
@@ -109,7 +128,13 @@
     # Listening
 
     def _wanted(self, config: Config) -> list[tuple[Front, tuple[str, int] | None]]:
-        return [(self._lines, config.listen), (self._channels, config.channels)]
+        return [(self._lines, config.listen), (self._channels, config.channels), (self._mgmt, config.mgmt)]
+
+    def _lacking(self) -> str:
+        """What this process lacks to serve; nothing where it is ready."""
+        if not self._exchange.informed:
+            return "no machine list yet"
+        return "" if self._exchange.serving else "leaving"
 
     def _bind(self, config: Config) -> list[tuple[Front, socket.socket]]:
         """Listeners where a front's address is new; raises OSError, and then none is left open."""
@@ -134,7 +159,9 @@
                 front.scope = anyio.CancelScope()
         for front, listener in made:
             assert front.scope is not None
-            self._tasks.start_soon(accept_all, listener, front.handle, self._door, self._tasks, front.scope)
+            self._tasks.start_soon(
+                accept_all, listener, front.handle, front.door, self._tasks, front.scope, front.turn
+            )
             told = {"balancer": self._config.name, "front": front.name, "listen": local_address(listener)}
             log.info("serving", extra=told)
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import socket
 import struct
@@ -22,8 +23,10 @@
 from puffinford.fronts.channels.submitter import ChannelSubmitters
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.lines.submitter import LineSubmitters
-from puffinford.fronts.sockets import Budget, Door, Wire, accept_all, bind
+from puffinford.fronts.sockets import MGMT_MOST, Budget, Door, Wire, accept_all, bind
 from puffinford.interface import Effect, RequestClass, Server, ServerState, Settings
+from puffinford.management.calls import Calls
+from puffinford.management.http import HttpCalls
 
 Handler = Callable[[anyio.abc.SocketStream], Awaitable[None]]
 
@@ -145,12 +148,19 @@
         self.tasks.start_soon(listener.serve, play)
         return int(listener.extra(SocketAttribute.local_port))
 
-    def front(self, handle: Callable[[Wire], Awaitable[None]]) -> int:
+    def front(self, handle: Callable[[Wire], Awaitable[None]], door: Door | None = None) -> int:
         """Where a front listens."""
         listener = bind(("127.0.0.1", 0))
-        self.tasks.start_soon(accept_all, listener, handle, self.door, self.tasks, anyio.CancelScope())
+        self.tasks.start_soon(
+            accept_all, listener, handle, door or self.door, self.tasks, anyio.CancelScope()
+        )
         return int(listener.getsockname()[1])
 
+    def management(self, lacking: Callable[[], str] = lambda: "") -> int:
+        """Where the second address listens."""
+        door = Door(self.clock, Budget(MGMT_MOST + 1, 0), part=1)
+        return self.front(HttpCalls(Calls(self.exchange, lacking).answer, door).handle, door)
+
     async def server(
         self, ident: str, script: Callable[[Peer], Awaitable[None]], front: str = "lines"
     ) -> None:
@@ -188,6 +198,19 @@
     return b"OPEN " + job.encode() + b" 7f3a " + figures
 
 
+async def call(port: int, said: str | bytes) -> tuple[int, str]:
+    """One call of the second address: METHOD PATH, or raw bytes; its status and text."""
+    raw = f"{said} HTTP/1.1\r\nHost: here\r\n\r\n".encode() if isinstance(said, str) else said
+    async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+        await stream.send(raw)
+        answer = b""
+        with contextlib.suppress(anyio.EndOfStream):
+            while True:
+                answer += await stream.receive()
+    head, _, body = answer.decode().partition("\r\n\r\n")
+    return int(head.split(" ")[1]), body
+
+
 def answering(*lines: bytes, rst: bool = False, stay: bool = False) -> Script:
     """A server that says these lines to an opening, then ends."""
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -92,11 +92,14 @@
         port = 1 if result is Result.CONNECT_FAILED else await here.listen(handle)
         first = codec.decode_first(opening() + b"\r\n")
         assert isinstance(first, Opening)
+        machine = Machine(Server("s"), "127.0.0.1", port)
+        written: list[bool] = []
         with pytest.raises(ClaimEnded) as ended:
             await LineServers(here.clock, Budget(), 500.0).claim(
-                Machine(Server("s"), "127.0.0.1", port), first, 900.0
+                machine, first, 900.0, lambda: written.append(True)
             )
         assert ended.value.result is result
+        assert written == [True] * (result is not Result.CONNECT_FAILED), "told once, when all of it was out"
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,99 @@
+"""Stories of the second address: what each call is answered, and what the figures count."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+
+from puffinford.fronts.sockets import MGMT_MOST
+from tests.stage import Peer, answering, call, echo, opening, stage
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.mark.parametrize(
+    ("said", "status"),
+    [
+        ("GET /admin/health", 200),
+        ("GET /admin/stats?all", 200),
+        ("POST /admin/health", 405),
+        ("DELETE /admin/stats", 405),
+        ("GET /", 404),
+        ("GET /admin/health/", 404),
+        ("GET /admin/%ff", 400),
+        (b"\x16\x03\x01\x02\x00\r\n\r\n", 400),
+        (b"GET /admin/health HTTP/1.1\r\n\r\n", 400),  # HTTP/1.1 wants a Host
+        (b"GET /admin/health HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"GET /" + b"a" * 20_000, 400),
+        (b"GET /admin/health HTTP/1.0\r\n\r\n", 200),
+    ],
+)
+async def test_each_call_has_its_answer(said: str | bytes, status: int) -> None:
+    async with stage() as here:
+        assert (await call(here.management(), said))[0] == status
+
+
+async def test_ready_means_that_nothing_is_lacking() -> None:
+    lack = "no machine list yet"
+    async with stage() as here:
+        port = here.management(lambda: lack)
+        assert await call(port, "GET /admin/health") == (503, "not ready: no machine list yet\n")
+        lack = ""
+        assert await call(port, "GET /admin/health") == (200, "ready\n")
+
+
+async def test_callers_that_stall_and_crowds_of_clients_hold_up_no_call() -> None:
+    """The clock stands still: only their number sends the stalled ones away."""
+    async with stage() as here:
+        here.door.budget.limit = 0
+        port = here.management()
+        stalled = [await anyio.connect_tcp("127.0.0.1", port) for _ in range(2 * MGMT_MOST)]
+        for stream in stalled[-MGMT_MOST:]:
+            await stream.send(b"GET /admin/health HTT")
+        assert (await call(port, "GET /admin/health"))[0] == 200
+        assert await Peer(stalled[0]).line() in (b"FIN", b"RST")
+        await stalled[-1].send(b"P/1.1\r\nHost: here\r\n\r\n")
+        assert (await Peer(stalled[-1]).line()).startswith(b"HTTP/1.1 200")
+        for stream in stalled:
+            await anyio.aclose_forcefully(stream)
+
+
+@pytest.mark.parametrize("front", ["lines", "channels"])
+async def test_the_figures_count_what_was_answered_and_what_was_written(front: str) -> None:
+    async with stage() as here:
+        port = here.management()
+
+        async def figures() -> dict[str, str]:
+            lines = (await call(port, "GET /admin/stats"))[1].split()
+            return dict(line.removeprefix("app.").split(":") for line in lines)
+
+        zero = await figures()
+        assert [
+            zero[f"requests.{cls}.{name}"]
+            for cls in ("price-lookup", "payment")
+            for name in ("served", "refused", "failed", "attempts")
+        ] == ["0|c"] * 8
+        await here.server("s-1", echo)
+        if front == "channels":
+            channel = await here.channel_client()
+            await channel.open(1, "0a")
+            await channel.next()
+        else:
+            client = await here.client(opening())
+            assert await client.line() == b"UP r1\r\n"
+        again = await here.client(opening())
+        assert (await again.line()).startswith(b"ERR ")
+        unknown = await here.client(opening("0c", b"c=none,d=9"))
+        assert (await unknown.line()).startswith(b"ERR ")
+        await here.server("s-1", answering(b"ERR no"))
+        turned = await here.client(opening("0d", b"c=payment,d=900"))
+        assert (await turned.line()).startswith(b"ERR ")
+        seen = await figures()
+        names = ("price-lookup.served", "price-lookup.failed", "price-lookup.attempts", "payment.failed")
+        assert [seen[f"requests.{name}"] for name in names] == ["1|c"] * 4
+        assert seen["requests.price-lookup.refused"] == "0|c"
+        assert {n: seen[n] for n in ("in_flight", "servers_known", "servers_excluded")} == {
+            "in_flight": "1|g",
+            "servers_known": "1|g",
+            "servers_excluded": "1|g",  # it answered amiss
+        }
