--- a/puffinford/config.py
+++ b/puffinford/config.py
@@ -46,6 +46,8 @@
     limits: Limits = Limits()
     channels: tuple[str, int] | None = None  # where the channel front listens
     mgmt: tuple[str, int] | None = None  # the second address
+    socket_fd: int | None = None  # the platform's listening socket, where it holds one
+    state: str | None = None  # the directory that the versions of this balancer share
 
 
 def _reject(text: str) -> None:
@@ -161,4 +163,25 @@
     name = str(told.get("name", ""))
     limits = _limits(told.get("limits"))
     front, mgmt = load_channels(channels), _address(told, "mgmt")
-    return Config(name, listen, discovery, number, settings, known, inventory, limits, front, mgmt)
+    return Config(
+        name,
+        listen,
+        discovery,
+        number,
+        settings,
+        known,
+        inventory,
+        limits,
+        front,
+        mgmt,
+        _descriptor(env.get("EDGE_SOCKET_FD")),
+        env.get("TMPDIR") or None,
+    )
+
+
+def _descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not text.isascii() or not text.isdigit():
+        raise BadConfig("EDGE_SOCKET_FD: no descriptor")
+    return int(text)
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -11,6 +11,7 @@
 import errno
 import ipaddress
 import logging
+import os
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Iterator
@@ -53,11 +54,21 @@
         self.limit = limit
         self.reserve = reserve
         self.used = 0
+        self.elsewhere: Callable[[], int] = int  # descriptors of another version, under the same limit
+        self.changed: Callable[[], object] = int  # hears of each socket made or closed
+
+    def take(self) -> None:
+        self.used += 1
+        self.changed()
+
+    def give(self) -> None:
+        self.used -= 1
+        self.changed()
 
     @property
     def full(self) -> bool:
         """Whether one more client and its server would not fit."""
-        return self.used + 2 > self.limit - self.reserve
+        return self.used + self.elsewhere() + 2 > self.limit - self.reserve
 
 
 class Wire:
@@ -72,7 +83,7 @@
         self._lock = anyio.Lock(fast_acquire=True)
         self._torn = False
         self._closed = False
-        budget.used += 1
+        budget.take()
 
     async def read(self) -> bytes:
         # Guards the others against a peer that sends at full speed: each piece waits its turn.
@@ -143,7 +154,7 @@
     def close(self) -> None:
         if not self._closed:
             self._closed = True
-            self._budget.used -= 1
+            self._budget.give()
             anyio.notify_closing(self._sock)
             self._sock.close()
 
@@ -232,6 +243,10 @@
         self._part = part
         self._waiting: dict[object, anyio.CancelScope] = {}
 
+    @property
+    def empty(self) -> bool:
+        return not self._waiting
+
     @contextmanager
     def wait(self, ms: float) -> Iterator[None]:
         """What is within is cancelled after so long, or when its place is needed."""
@@ -258,13 +273,30 @@
     return "{}:{}".format(*listener.getsockname()[:2])
 
 
-def bind(address: tuple[str, int]) -> socket.socket:
+def bind(address: tuple[str, int], *, beside: bool = False) -> socket.socket:
+    """A listener; `beside` another version's at the same address."""
     family, target = _address(*address)
-    listener = socket.create_server(target, family=family, backlog=BACKLOG)
+    listener = socket.create_server(target, family=family, backlog=BACKLOG, reuse_port=beside)
     listener.setblocking(False)
     return listener
 
 
+def inherited(descriptor: int) -> socket.socket:
+    """A listener on the platform's listening socket; raises OSError where the descriptor is none.
+
+    The socket is the same in all processes: it is closed here, and never shut down, which would end it there.
+    """
+    listener = socket.socket(fileno=os.dup(descriptor))
+    try:
+        if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError(errno.EINVAL, f"descriptor {descriptor} does not listen")
+        listener.setblocking(False)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 async def accept_all(
     listener: socket.socket,
     handle: Handler,
@@ -272,10 +304,12 @@
     tasks: anyio.abc.TaskGroup,
     scope: anyio.CancelScope,
     turn: int = ACCEPT_TURN,
+    shared: bool = False,
 ) -> None:
     """Accept until `scope` is cancelled, then listen no more; what was accepted goes on in `tasks`.
 
-    Each connection has a task of its own, whose faults stay its own.
+    Each connection has a task of its own, whose faults stay its own. What waits to be accepted at the end
+    is taken too, unless the socket is `shared` with a process that goes on accepting.
     """
 
     async def guarded(wire: Wire) -> None:
@@ -286,26 +320,35 @@
         finally:
             wire.close()
 
-    with scope:
-        while True:
-            await anyio.wait_readable(listener)
-            for _ in range(turn):
+    def take(most: int) -> None:
+        for _ in range(most):
+            try:
+                sock, _peer = listener.accept()
+            except BlockingIOError:
+                break
+            wire = Wire(sock, door.clock, door.budget)
+            if door.make_room():
+                tasks.start_soon(guarded, wire)
+            else:
+                seldom.warning("no room", open=door.budget.used, limit=door.budget.limit)
+                wire.close()
+
+    try:
+        with scope:
+            while True:
+                await anyio.wait_readable(listener)
                 try:
-                    sock, _peer = listener.accept()
-                except BlockingIOError:
-                    break
+                    take(turn)
                 except OSError as exc:
                     # Guards against running out of descriptors, and against a peer that is gone before
                     # its connection is taken up: a later accept may do.
                     log.warning("accept failed", extra={"error": str(exc)})
                     door.make_room()
                     await door.clock.sleep(ACCEPT_RETRY)
-                    break
-                wire = Wire(sock, door.clock, door.budget)
-                if door.make_room():
-                    tasks.start_soon(guarded, wire)
-                else:
-                    seldom.warning("no room", open=door.budget.used, limit=door.budget.limit)
-                    wire.close()
-    anyio.notify_closing(listener)
-    listener.close()
+        if not shared:
+            # Guards the clients that came in the last moment: a close would reset them.
+            with contextlib.suppress(OSError):
+                take(BACKLOG)
+    finally:
+        anyio.notify_closing(listener)
+        listener.close()
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -29,12 +29,14 @@
     Handler,
     accept_all,
     bind,
+    inherited,
     local_address,
 )
 from puffinford.machines.discovery import DiscoveryWatch
 from puffinford.machines.inventory import InventoryFile
 from puffinford.management.calls import Calls
 from puffinford.management.http import HttpCalls
+from puffinford.management.versions import Versions, state_path
 
 log = logging.getLogger(__name__)
 
@@ -45,6 +47,7 @@
 KILL_AFTER = 700.0
 DRAIN_SPARE = 900.0  # for the last ends to arrive before the kill
 STAY = 10_000.0  # after the drain, for the platform to end the process itself
+LOOK = 50.0  # between looks for other versions of this balancer
 
 
 @dataclass
@@ -57,6 +60,7 @@
     turn: int = ACCEPT_TURN
     address: tuple[str, int] | None = None
     scope: anyio.CancelScope | None = None  # ends the listening; what was accepted stays
+    accepting: bool = False
 
 
 class Service:
@@ -64,6 +68,7 @@
 
     def __init__(self, config: Config, clock: Clock, load: Callable[[], Config]) -> None:
         self._config = config
+        self._home = config.listen
         self._clock = clock
         self._load = load
         self._budget = Budget(config.limits.sockets, RESERVE + MGMT_MOST + MGMT_TURN)
@@ -89,11 +94,19 @@
         callers = Door(clock, Budget(MGMT_MOST + 1, 0), part=1)
         calls = HttpCalls(Calls(self._exchange, self._lacking).answer, callers)
         self._mgmt = Front("management", calls.handle, callers, MGMT_TURN)
+        self._versions = Versions(state_path(config.state, config.name))
+        for budget in (self._budget, callers.budget):
+            budget.changed = lambda: self._versions.tell_held(self._budget.used + callers.budget.used)
+        self._budget.elsewhere = lambda: self._versions.held_elsewhere
         self._tasks: anyio.abc.TaskGroup
         self._draining = False
 
     async def run(self) -> None:
         signums = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        try:
+            self._versions.register()
+        except OSError as exc:
+            log.error("alone", extra={"error": str(exc)})
         listeners = self._bind(self._config)
         with anyio.open_signal_receiver(*signums) as signals:
             async with anyio.create_task_group() as tasks:
@@ -101,6 +114,7 @@
                 tasks.start_soon(self._channel_servers.run)
                 tasks.start_soon(self._exchange.run, self._source, self._config.known)
                 tasks.start_soon(self._source.run)
+                tasks.start_soon(self._watch_versions)
                 self._listen(listeners)
                 await self._obey(signals)
                 tasks.cancel_scope.cancel()
@@ -120,11 +134,43 @@
 
     async def _drain(self) -> None:
         longest = min(DRAIN_MOST, max(cls.deadline for cls in self._config.settings.classes))
-        await self._exchange.drain(DRAIN_FROM, longest + KILL_AFTER - DRAIN_FROM - DRAIN_SPARE)
+        self._versions.look()
+        settle = 0.0 if self._versions.succeeded else DRAIN_FROM
+        await self._exchange.drain(settle, longest + KILL_AFTER - settle - DRAIN_SPARE)
         log.info("drained")
-        await self._clock.sleep(STAY)
+        with self._clock.limit(STAY):
+            while not (self._succeeded() and self._lines.door.empty):
+                await self._clock.sleep(LOOK)
         self._tasks.cancel_scope.cancel()
 
+    # Versions
+
+    async def _watch_versions(self) -> None:
+        while True:
+            self._versions.look()
+            self._lacking()
+            self._succeeded()
+            await self._clock.sleep(LOOK)
+
+    def _succeeded(self) -> bool:
+        """Whether this process is leaving and a later version is there: then that one alone accepts."""
+        if not (self._draining and self._versions.succeeded):
+            return False
+        for front in (self._lines, self._channels):
+            if front.scope is not None and not front.scope.cancel_called:
+                log.info("succeeded", extra={"front": front.name})
+                front.scope.cancel()
+        return True
+
+    async def _accept(self, front: Front, listener: socket.socket, scope: anyio.CancelScope) -> None:
+        """Accept at a front, beside an earlier version only once this one can serve."""
+        shared = self._from_platform(front, front.address)
+        if front is not self._mgmt:
+            while self._versions.succeeding and not (self._exchange.informed or scope.cancel_called):
+                await self._clock.sleep(LOOK)
+        front.accepting = True
+        await accept_all(listener, front.handle, front.door, self._tasks, scope, front.turn, shared)
+
     # Listening
 
     def _wanted(self, config: Config) -> list[tuple[Front, tuple[str, int] | None]]:
@@ -132,9 +178,16 @@
 
     def _lacking(self) -> str:
         """What this process lacks to serve; nothing where it is ready."""
+        lack = ""
         if not self._exchange.informed:
-            return "no machine list yet"
-        return "" if self._exchange.serving else "leaving"
+            lack = "no machine list yet"
+        elif not self._lines.accepting or self._lines.scope is None:
+            lack = "not listening yet"
+        elif not self._exchange.serving or self._lines.scope.cancel_called:
+            lack = "leaving"
+        # Guards the change of versions: the old one's SIGTERM may follow a yes within milliseconds.
+        self._versions.tell_ready(not (lack or self._draining))
+        return lack
 
     def _bind(self, config: Config) -> list[tuple[Front, socket.socket]]:
         """Listeners where a front's address is new; raises OSError, and then none is left open."""
@@ -142,13 +195,23 @@
         try:
             for front, address in self._wanted(config):
                 if address is not None and address != front.address:
-                    made.append((front, bind(address)))
+                    made.append((front, self._bind_one(front, address)))
         except OSError:
             for _, listener in made:
                 listener.close()
             raise
         return made
 
+    def _from_platform(self, front: Front, address: tuple[str, int] | None) -> bool:
+        """Whether the platform holds the listening socket there."""
+        return self._config.socket_fd is not None and front is self._lines and address == self._home
+
+    def _bind_one(self, front: Front, address: tuple[str, int]) -> socket.socket:
+        if self._from_platform(front, address):
+            assert self._config.socket_fd is not None
+            return inherited(self._config.socket_fd)
+        return bind(address, beside=front is self._channels and self._config.socket_fd is not None)
+
     def _listen(self, made: list[tuple[Front, socket.socket]]) -> None:
         """Listen at the new addresses and no longer at those that are not wanted."""
         for front, address in self._wanted(self._config):
@@ -159,9 +222,7 @@
                 front.scope = anyio.CancelScope()
         for front, listener in made:
             assert front.scope is not None
-            self._tasks.start_soon(
-                accept_all, listener, front.handle, front.door, self._tasks, front.scope, front.turn
-            )
+            self._tasks.start_soon(self._accept, front, listener, front.scope)
             told = {"balancer": self._config.name, "front": front.name, "listen": local_address(listener)}
             log.info("serving", extra=told)
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -4,11 +4,17 @@
 
 import contextlib
 import json
+import os
+import re
 import socket
 import struct
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from pathlib import Path
+from typing import cast
 
 import anyio
 import anyio.abc
@@ -250,6 +256,32 @@
     return handle
 
 
+class Program:
+    """The program as it is started, and its log."""
+
+    def __init__(self, process: anyio.abc.Process) -> None:
+        self.process = process
+        self._log = b""
+
+    async def logged(self, pattern: bytes) -> re.Match[bytes]:
+        """Wait for a line of the log; what stands before it is not looked at again."""
+        while (found := re.search(pattern + rb".*\n", self._log)) is None:
+            self._log += await cast(anyio.abc.ByteReceiveStream, self.process.stderr).receive()
+        self._log = self._log[found.end() :]
+        return found
+
+    async def port(self, front: bytes) -> int:
+        return int((await self.logged(rb"event=serving .*front=" + front + rb" .*:(\d+)"))[1])
+
+
+@asynccontextmanager
+async def program(config: Path, *words: str, fds: Sequence[int] = (), **env: str) -> AsyncIterator[Program]:
+    command = [sys.executable, "-m", "puffinford", *words]
+    told = {"PATH": os.environ["PATH"], "EDGE_CONFIG": str(config), **env}
+    async with await anyio.open_process(command, env=told, stderr=subprocess.PIPE, pass_fds=fds) as process:
+        yield Program(process)
+
+
 @asynccontextmanager
 async def stage(told: Settings | None = None) -> AsyncIterator[Stage]:
     told = told or settings()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,19 +4,17 @@
 
 import json
 import os
-import re
 import signal
 import subprocess
 import sys
 from pathlib import Path
-from typing import Any, cast
+from typing import Any
 
 import anyio
 import pytest
-from anyio.abc import ByteReceiveStream
 
 from puffinford.fronts.channels import codec
-from tests.stage import ChannelPeer, Peer, answering, discovery, echo, opening, stage
+from tests.stage import ChannelPeer, Peer, answering, discovery, echo, opening, program, stage
 
 FACTS: dict[str, Any] = {"classes": [{"name": "price-lookup", "give_up": 400.0, "repeat": "idempotent"}]}
 
@@ -27,21 +25,18 @@
     (tmp_path / "config.json").write_text(
         json.dumps({"name": "n1", "listen": "127.0.0.1:0", "seed": "0a", "settings": FACTS})
     )
-    command = [sys.executable, "-m", "puffinford", "serve", "--inventory", str(tmp_path / "machines.csv")]
-    command += ["--channels", str(tmp_path / "channels.toml")]
-    env = {"PATH": os.environ["PATH"], "EDGE_CONFIG": str(tmp_path / "config.json")}
+    words = ["serve", "--inventory", str(tmp_path / "machines.csv")]
+    words += ["--channels", str(tmp_path / "channels.toml")]
     async with stage() as here:
         port = await here.listen(lambda stream: answering(b"UP r1", stay=True)(Peer(stream)))
         (tmp_path / "machines.csv").write_text(f"id,addr\ns-1,127.0.0.1:{port}\n")
-        async with await anyio.open_process(command, env=env, stderr=subprocess.PIPE) as process:
-            assert process.stderr is not None
-            log = b""
-            while len(ports := re.findall(rb"event=serving.*listen=127.0.0.1:(\d+)\n", log)) < 2:
-                log += await process.stderr.receive()
-            line = Peer(await anyio.connect_tcp("127.0.0.1", int(ports[0])))
+        async with program(tmp_path / "config.json", *words) as running:
+            process = running.process
+            ports = [await running.port(front) for front in (b"lines", b"channels")]
+            line = Peer(await anyio.connect_tcp("127.0.0.1", ports[0]))
             await line.say(opening())
             assert await line.line() == b"UP r1\r\n"
-            channel = ChannelPeer(await anyio.connect_tcp("127.0.0.1", int(ports[1])))
+            channel = ChannelPeer(await anyio.connect_tcp("127.0.0.1", ports[1]))
             await (await channel.hello()).open(1, "0b")
             assert isinstance(await channel.next(), codec.OpenConfirmation)
             process.send_signal(signal.SIGTERM)
@@ -49,8 +44,7 @@
             assert await channel.next() == codec.ChannelRequest(1, codec.MOVE, False)
             await line.fin()
             await channel.stream.aclose()
-            while b"event=drained" not in log:
-                log += await process.stderr.receive()
+            await running.logged(b"event=drained")
             process.send_signal(signal.SIGINT)
             assert await process.wait() == 0
 
@@ -69,21 +63,9 @@
             config.write_text(json.dumps({**told, "settings": {"classes": classes}}))
 
         tell(ports[0], FACTS["classes"])
-        env = {"EDGE_CONFIG": str(config), "EDGE_DISCOVERY": f"127.0.0.1:{ports[0]}"}
-        command = [sys.executable, "-m", "puffinford"]
-        async with await anyio.open_process(command, env=env, stderr=subprocess.PIPE) as process:
-            assert process.stderr is not None
-            log = b""
-
-            async def logged(pattern: bytes) -> re.Match[bytes]:
-                """Wait for a line of the log; what stands before it is not looked at again."""
-                nonlocal log
-                while (found := re.search(pattern + rb".*\n", log)) is None:
-                    log += await cast(ByteReceiveStream, process.stderr).receive()
-                log = log[found.end() :]
-                return found
-
-            port = int((await logged(rb"event=serving .*:(\d+)"))[1])
+        async with program(config, EDGE_DISCOVERY=f"127.0.0.1:{ports[0]}") as running:
+            process, logged = running.process, running.logged
+            port = await running.port(b"lines")
             await logged(b"server=s-1 .*list=replace")
             client = Peer(await anyio.connect_tcp("127.0.0.1", port))
             await client.say(opening())
@@ -128,8 +110,18 @@
     ],
 )
 def test_bad_configuration_is_one_line_and_exit_2(told: str, tmp_path: Path) -> None:
+    assert_refused(told, tmp_path)
+
+
+@pytest.mark.parametrize("descriptor", ["x", "-1", "0", "999"])
+def test_a_descriptor_that_is_no_listening_socket_is_refused(descriptor: str, tmp_path: Path) -> None:
+    told = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": FACTS}
+    assert_refused(json.dumps(told), tmp_path, EDGE_SOCKET_FD=descriptor)
+
+
+def assert_refused(told: str, tmp_path: Path, **more: str) -> None:
     (tmp_path / "config.json").write_text(told)
-    env = {**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json")}
+    env = {**os.environ, "EDGE_CONFIG": str(tmp_path / "config.json"), **more}
     done = subprocess.run([sys.executable, "-m", "puffinford"], env=env, capture_output=True, timeout=30)
     assert done.returncode == 2
     assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith(b"puffinford: ")
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,95 @@
+"""Stories of a new version that starts beside the old one, under load."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+from pathlib import Path
+
+import anyio
+import pytest
+
+from puffinford.core.clock import SettableClock
+from puffinford.fronts.sockets import Budget, Door
+from puffinford.management.versions import OWN_FILES, Versions, state_path
+from tests.stage import Peer, call, discovery, echo, opening, program, stage
+from tests.test_program import FACTS
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("killed_first", [False, True], ids=["", "beside the file of a killed one"])
+async def test_the_old_version_hands_over_only_to_one_that_is_ready(
+    tmp_path: Path, killed_first: bool
+) -> None:
+    """The second process could not bind the address, and the old one went on accepting to its end."""
+    config, state = tmp_path / "config.json", tmp_path / "state"
+    state.mkdir()
+    platform = socket.create_server(("127.0.0.1", 0))
+    port, fd = platform.getsockname()[1], platform.fileno()
+    asked: list[bytes] = []
+    async with stage() as here:
+        server = {"id": "s-1", "addr": f"127.0.0.1:{await here.listen(lambda s: echo(Peer(s)))}"}
+        told = {
+            "listen": f"127.0.0.1:{port}",
+            "discovery": f"127.0.0.1:{await here.listen(discovery(asked, server))}",
+        }
+        config.write_text(json.dumps({**told, "settings": FACTS}))
+        env = {"TMPDIR": str(state), "EDGE_SOCKET_FD": str(fd), "EDGE_MGMT": "127.0.0.1:0"}
+
+        async def client(job: str) -> Peer:
+            peer = Peer(await anyio.connect_tcp("127.0.0.1", port))
+            await peer.say(opening(job))
+            assert await peer.line() == b"UP r1\r\n"
+            return peer
+
+        async with program(config, fds=[fd], **env) as old:
+            await old.logged(b"list=replace")
+            first = await client("0a")
+            if killed_first:
+                async with program(config, fds=[fd], **env) as dead:
+                    await dead.logged(b"list=replace")
+                    dead.process.kill()
+                    await dead.process.wait()
+            async with program(config, fds=[fd], **env) as new:
+                address = await new.port(b"management")
+                while (await call(address, "GET /admin/health"))[0] != 200:
+                    await anyio.sleep(0.01)
+                half = Peer(await anyio.connect_tcp("127.0.0.1", port))
+                old.process.send_signal(signal.SIGTERM)
+                await old.logged(b"event=succeeded")
+                assert [await first.line(), await first.line()] == [b"MOVE\r\n", b"FIN"]
+                await first.fin()
+                await half.say(opening("0b"))
+                assert await half.line() == b"UP r1\r\n", "whoever had accepted it, it is served"
+                second = await client("0c")
+                assert await old.process.wait() == 0, "it ends by itself"
+                await second.say(b"on")
+                assert await second.line() == b"on\r\n"
+                new.process.send_signal(signal.SIGTERM)
+                await new.logged(b"event=stopping")
+                await (await client("0d")).fin()  # no successor: arrivals are served on
+                new.process.kill()
+    platform.close()
+
+
+def test_versions_share_their_limits_and_a_dead_one_counts_for_nothing(tmp_path: Path) -> None:
+    path = state_path(str(tmp_path), "n/1")
+    old, new = Versions(path), Versions(path)
+    old.register()
+    new.register()
+    budget = Budget(200, 50)
+    budget.elsewhere = lambda: old.held_elsewhere
+    door = Door(SettableClock(), budget)
+    new.tell_held(140)
+    old.look()
+    assert (old.held_elsewhere, old.succeeded, new.succeeding) == (140 + OWN_FILES, False, True)
+    assert not door.make_room()
+    new.tell_ready(True)
+    assert old.succeeded and not new.succeeded
+    os.close(new._file)
+    new._view.close()  # type: ignore[union-attr]
+    old.look()
+    assert (old.held_elsewhere, old.succeeded) == (0, False)
+    assert door.make_room()
