--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -19,6 +19,7 @@
     Attempt,
     Cancel,
     ClientLeft,
+    Cordoned,
     DelayNote,
     Effect,
     Established,
@@ -76,6 +77,8 @@
 LIMIT_SPARE = 1.1  # how far the class worth most for its load may pass the limit
 INSTANT = 0.001  # times this close are the same: hosts count microseconds, and floats round
 HELD_KEYS = 10_000  # connections remembered after their packets went elsewhere
+EMPTY_OVER = 2_500.0  # the clients of a server that operators take out are moved within this, evenly
+EMPTY_STEP = 100.0
 COLD_SHARE = 0.5  # part of a warm server's rate: other balancers' chance bursts need the other part
 
 _NEVER_RAN = frozenset((Result.FULL, Result.CONNECT_FAILED, Result.MOOT))
@@ -97,9 +100,10 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "away_at", "cell", "cold_from", "credit", "credit_at", "delay", "down", "failures", "flows", "id",
-        "late_at", "late_notes", "late_until", "listed", "load", "probed_at", "reach", "retry_at",
-        "room", "room_at", "size", "slow_until", "started", "trial", "used", "used_at", "used_since", "zone",
+        "away_at", "cell", "cold_from", "cordoned", "credit", "credit_at", "delay", "down", "failures",
+        "flows", "id", "late_at", "late_notes", "late_until", "listed", "load", "probed_at", "reach",
+        "retry_at", "room", "room_at", "size", "slow_until", "started", "trial", "used", "used_at",
+        "used_since", "zone",
     )  # fmt: skip
 
     def __init__(self, server: Server) -> None:
@@ -108,6 +112,7 @@
         self.cell = server.cell
         self.reach = stable_hash(server.id)  # where it stands in the shuffle common to all balancers
         self.listed = server.state
+        self.cordoned = False  # operators have taken it out
         self.size = server.weight
         self.started = server.started
         self.flows: dict[str, Flow] = {}  # own connections and attempts, by request id
@@ -132,6 +137,25 @@
         self.credit = 0.0
         self.credit_at = 0.0
 
+    @property
+    def open(self) -> bool:
+        """Whether new connections may go there at all."""
+        return self.listed is ServerState.LIVE and not self.cordoned
+
+    def start_cold(self, since: float, now: float, credit: float) -> None:
+        """It has started, or may have: what was known of its health is over."""
+        self.cold_from = since
+        self.credit = credit
+        self.credit_at = now
+        self.down = False
+        self.failures = 0
+
+    def forget_load(self) -> None:
+        self.room = float("inf")
+        self.room_at = self.late_at = float("-inf")
+        self.slow_until = self.late_until = self.delay = 0.0
+        self.late_notes = 0
+
 
 class Flow:
     """One request, from its arrival to its final answer or the end of its connection."""
@@ -217,6 +241,7 @@
         self._act = act
         self.backends: dict[str, Backend] = {}
         self.order: list[Backend] = []  # this balancer's shuffle
+        self.cordoned: frozenset[str] = frozenset()
         self.common: list[Backend] = []  # the shuffle common to all balancers, in which groups start
         self._subscribed = not settings.list_on_request
         self._asking = False
@@ -263,6 +288,7 @@
         backend = self.backends.get(server.id)
         if backend is None:
             backend = self.backends[server.id] = Backend(server)
+            backend.cordoned = server.id in self.cordoned
             restarted = True
         else:
             restarted = server.started > backend.started
@@ -272,13 +298,19 @@
             backend.size = server.weight
             backend.started = max(server.started, backend.started)
         if restarted and server.started > 0 and now < server.started + self._settings.warm_time:
-            backend.cold_from = server.started
-            backend.credit = self._rng.random()
-            backend.credit_at = now
-            backend.down = False
-            backend.failures = 0
+            backend.start_cold(server.started, now, self._rng.random())
         return True
 
+    def cordon(self, servers: frozenset[str]) -> tuple[list[Backend], list[Backend]]:
+        """Hold the whole set of servers that are out; those newly out, and those that are back."""
+        self.cordoned = servers
+        changed = [b for b in self.backends.values() if b.cordoned != (b.id in servers)]
+        for backend in changed:
+            backend.cordoned = not backend.cordoned
+        if changed:
+            self._shuffle()
+        return [b for b in changed if b.cordoned], [b for b in changed if not b.cordoned]
+
     def _shuffle(self) -> None:
         """Order the live servers: this balancer's slice of a shuffle common to all comes first.
 
@@ -287,7 +319,7 @@
         Zones do not matter here: clients crowd into some zones, and a server kept to its zone's
         clients would have no room there while others stand idle.
         """
-        live = [b for b in self.backends.values() if b.listed is ServerState.LIVE]
+        live = [b for b in self.backends.values() if b.open]
         self.common = sorted(live, key=attrgetter("reach"))
         start = int((self._settings.me + 0.5) / self._settings.balancers * len(live)) % max(1, len(live))
         self.order = self.common[start:] + self.common[:start]
@@ -343,6 +375,7 @@
             ClientLeft: self._on_left,
             Timer: self._on_timer,
             ServerList: self._on_list,
+            Cordoned: self._on_cordoned,
             Inherited: self._on_inherited,
             ProbeResult: self._on_probe,
             PeerMessage: self._on_peer,
@@ -387,7 +420,7 @@
         return {
             ident
             for ident, backend in self._fleet.backends.items()
-            if backend.listed is not ServerState.LIVE or backend.down or backend.slow_until > now
+            if not backend.open or backend.down or backend.slow_until > now
         }
 
     # Events
@@ -396,9 +429,38 @@
         if self._fleet.take(event, self._now):
             self._set_until = -1.0
             for backend in self._fleet.backends.values():
-                if backend.down and backend.listed is ServerState.LIVE and not backend.trial:
+                if backend.down and backend.open and not backend.trial:
                     self._schedule_trial(backend)
 
+    def _on_cordoned(self, event: Cordoned) -> None:
+        out, back = self._fleet.cordon(event.servers)
+        for backend in out:
+            self._empty(backend, self._now + EMPTY_OVER)
+        for backend in back:
+            # Operators restart what they take out, and no list may have told of it yet: it may be cold.
+            backend.start_cold(self._now, self._now, 1.0)
+            backend.forget_load()
+            # Guards against a server that stays unused: a cold one's part of the traffic would bring it
+            # the first connection after a minute, and the working set may never reach it.
+            backend.down = True
+            backend.trial = False
+            backend.retry_at = self._now
+            heapq.heappush(self._due, (self._now, backend.id))
+            self._failed = False  # guards the one server left against the backoff of the time without any
+        if out or back:
+            self._set_until = -1.0
+
+    def _empty(self, backend: Backend, until: float) -> None:
+        """Move the clients of a server that is out, evenly, so that they do not all come back together."""
+        if not backend.cordoned:
+            return
+        standing = [flow for flow in backend.flows.values() if flow.standing]
+        steps = max(1, int((until - self._now) / EMPTY_STEP))
+        for flow in standing[: -(-len(standing) // steps)]:
+            self._close(flow)
+        if backend.flows:
+            self._timers.at(self._now + EMPTY_STEP, lambda: self._empty(backend, until))
+
     def _on_request(self, event: Request) -> None:
         now = self._now
         cls = self._classes[event.cls]
@@ -452,8 +514,10 @@
             self._take_report(backend, event.report)
             if result is not Result.OK and result is not Result.CANCELLED and result is not Result.MOOT:
                 self._failure(backend)
-                if result is Result.CONNECT_FAILED and backend.away_at is None:
-                    backend.away_at = self._now
+                if result is Result.CONNECT_FAILED:
+                    backend.away_at = self._now if backend.away_at is None else backend.away_at
+                    if backend.cold_from is not None:
+                        backend.credit = min(1.0, backend.credit + 1.0)  # it got none of the work
                 if result is Result.ERROR:
                     flow.blamed.append(backend)
             elif backend.trial:
@@ -631,7 +695,7 @@
             backend = self._fleet.backends.get(ident)
             if backend is None or not backend.down or backend.trial or backend.retry_at != at:
                 continue
-            if backend.listed is not ServerState.LIVE:
+            if not backend.open:
                 continue
             if not self._fits_cold(backend):
                 # Guards a cold server against never being tried again: it has no room for it yet.
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -115,6 +115,8 @@
         self._sides = sides
         self._balancer = Balancer(settings, seed)
         self.figures = Figures()
+        self.cordoned: frozenset[str] = frozenset()
+        self._named: set[str] = set()  # the servers that a list has named, gone or not
         self.informed = False  # the machine list's source has been heard of, and there is a list
         self._take_settings(settings)
         self._rng = random.Random(seed ^ 0x5EED)
@@ -128,9 +130,11 @@
 
     async def run(self, source: MachineSource, known: MachineList | None = None) -> None:
         """Serve until cancelled. Jobs may come once this has started."""
-        self._source = source
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            self._source = source
+            if self.cordoned:
+                self._tell(it.Cordoned(self.cordoned))
             if known is not None:
                 self._take(known, it.ListKind.RESTORED)
             else:
@@ -171,6 +175,16 @@
             "servers_excluded": len(excluded & self._machines.keys()),
         }
 
+    def cordon(self, servers: frozenset[str]) -> None:
+        """These servers are out, and no others, whatever the machine list says."""
+        self.cordoned = servers
+        if self._source is not None:  # else the module is told first of all
+            self._tell(it.Cordoned(servers))
+
+    def names(self, ident: str) -> bool:
+        """Whether anybody has that id. One that is restarting may be off the list for now."""
+        return ident in self._named or ident in self.cordoned
+
     # The machine list
 
     def take_list(self, machines: MachineList | None) -> None:
@@ -184,6 +198,7 @@
     def _take(self, machines: MachineList, kind: it.ListKind) -> None:
         if kind is not it.ListKind.UPDATE:
             self._machines.clear()
+        self._named.update(machine.server.id for machine in machines.machines)
         for machine in machines.machines:
             if machine.server.state is it.ServerState.GONE:
                 self._machines.pop(machine.server.id, None)
--- a/puffinford/interface.py
+++ b/puffinford/interface.py
@@ -171,6 +171,14 @@
     version: int = 0
 
 
+@dataclass(slots=True)
+class Cordoned:
+    """The servers that operators have taken out, all of them, whatever lists name. One that is no longer
+    among them has been put back, and may have restarted meanwhile."""
+
+    servers: frozenset[str] = frozenset()
+
+
 @dataclass(slots=True)
 class Request:
     """A client wants a connection; it is owed one final answer within `left`."""
@@ -260,6 +268,7 @@
 
 Event = (
     ServerList
+    | Cordoned
     | Request
     | Inherited
     | Established
--- a/puffinford/management/calls.py
+++ b/puffinford/management/calls.py
@@ -2,25 +2,34 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
+from functools import partial
 
 from puffinford.core.exchange import Exchange
+from puffinford.management.cordons import Cordons
 from puffinford.management.http import Call, Reply
 
+log = logging.getLogger(__name__)
+
 
 class Calls:
     """`lacking` names what this process still lacks to serve; it is empty once nothing does."""
 
-    def __init__(self, exchange: Exchange, lacking: Callable[[], str]) -> None:
+    def __init__(self, exchange: Exchange, cordons: Cordons, lacking: Callable[[], str]) -> None:
         self._exchange = exchange
+        self._cordons = cordons
         self._lacking = lacking
 
     def answer(self, call: Call) -> Reply:
+        reply: Callable[[], Reply]
         match call.path:
             case ("admin", "health"):
                 method, reply = "GET", self._health
             case ("admin", "stats"):
                 method, reply = "GET", self._stats
+            case ("admin", "cordon" | "uncordon" as what, ident):
+                method, reply = "POST", partial(self._cordon, ident, what == "cordon")
             case _:
                 return Reply(404, "no such path")
         if call.method != method:
@@ -31,6 +40,16 @@
         lack = self._lacking()
         return Reply(503, f"not ready: {lack}") if lack else Reply(200, "ready")
 
+    def _cordon(self, ident: str, out: bool) -> Reply:
+        if not self._exchange.names(ident):
+            return Reply(404, "no server has that id")
+        try:
+            self._cordons.change(ident, out)
+        except OSError as exc:
+            log.error("cordon not kept", extra={"server": ident, "error": str(exc)})
+            return Reply(503, f"cannot be kept: {exc}")
+        return Reply(200, f"{ident} is {'out' if out else 'back'}")
+
     def _stats(self) -> Reply:
         lines = [
             f"app.requests.{cls}.{count.value}:{number}|c"
--- /dev/null
+++ b/puffinford/management/cordons.py
@@ -0,0 +1,83 @@
+"""The servers that operators have taken out: a set that all versions of a balancer share through a file."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import logging
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+from puffinford.management.versions import locked
+
+log = logging.getLogger(__name__)
+
+_Mark = tuple[int, int, int]  # what changes with each file renamed into place
+
+
+class Cordons:
+    """`apply` hears the whole set whenever it has changed. Without a `path` it is kept in memory alone."""
+
+    def __init__(self, path: Path | None, apply: Callable[[frozenset[str]], None]) -> None:
+        self._path = path.with_name(path.name + ".cordons") if path else None
+        self._apply = apply
+        self._mark: _Mark | None = None
+        self.out: frozenset[str] = frozenset()
+        self.in_force = True  # what the file says is what holds here
+
+    def look(self) -> None:
+        """Take in what another version has changed."""
+        mark = None
+        with contextlib.suppress(OSError):
+            mark = self._stat()
+        if mark != self._mark:
+            self._mark = mark
+            self._hold(self._read())
+
+    def change(self, ident: str, out: bool) -> None:
+        """Take a server out or put it back; raises OSError, and then nothing has changed."""
+        if self._path is None:
+            self._hold(self.out | {ident} if out else self.out - {ident})
+            return
+        with locked(self._path.with_name(self._path.name + ".lock")):
+            held = self._read()
+            held = held | {ident} if out else held - {ident}
+            fresh = self._path.with_name(f"{self._path.name}.{os.getpid()}")
+            # Guards the yes against a crash, and readers against half a file.
+            with open(fresh, "w", encoding="utf-8") as file:
+                json.dump(sorted(held), file)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(fresh, self._path)
+            self._mark = self._stat()
+            self.in_force = True
+        self._hold(held)
+
+    def _stat(self) -> _Mark | None:
+        if self._path is None:
+            return None
+        seen = self._path.stat()
+        return seen.st_ino, seen.st_mtime_ns, seen.st_size
+
+    def _read(self) -> frozenset[str]:
+        """The set in the file; the one held where the file cannot be used."""
+        self.in_force = True
+        try:
+            assert self._path is not None
+            told = json.loads(self._path.read_bytes())
+            if not isinstance(told, list) or not all(isinstance(ident, str) for ident in told):
+                raise ValueError("no list of ids")
+        except FileNotFoundError:
+            return self.out
+        except (OSError, ValueError, RecursionError) as exc:
+            self.in_force = False
+            log.error("cordons unreadable", extra={"error": str(exc)})
+            return self.out
+        return frozenset(told)
+
+    def _hold(self, out: frozenset[str]) -> None:
+        if out != self.out:
+            log.info("cordons", extra={"out": ",".join(sorted(out))})
+            self.out = out
+            self._apply(out)
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -35,6 +35,7 @@
 from puffinford.machines.discovery import DiscoveryWatch
 from puffinford.machines.inventory import InventoryFile
 from puffinford.management.calls import Calls
+from puffinford.management.cordons import Cordons
 from puffinford.management.http import HttpCalls
 from puffinford.management.versions import Versions, state_path
 
@@ -92,9 +93,11 @@
         self._channels = Front("channels", ChannelSubmitters(self._exchange, door).handle, door)
         # Guards operators against crowds of clients: callers have descriptors of their own.
         callers = Door(clock, Budget(MGMT_MOST + 1, 0), part=1)
-        calls = HttpCalls(Calls(self._exchange, self._lacking).answer, callers)
+        path = state_path(config.state, config.name)
+        self._cordons = Cordons(path, self._exchange.cordon)
+        calls = HttpCalls(Calls(self._exchange, self._cordons, self._lacking).answer, callers)
         self._mgmt = Front("management", calls.handle, callers, MGMT_TURN)
-        self._versions = Versions(state_path(config.state, config.name))
+        self._versions = Versions(path)
         for budget in (self._budget, callers.budget):
             budget.changed = lambda: self._versions.tell_held(self._budget.used + callers.budget.used)
         self._budget.elsewhere = lambda: self._versions.held_elsewhere
@@ -107,6 +110,7 @@
             self._versions.register()
         except OSError as exc:
             log.error("alone", extra={"error": str(exc)})
+        self._cordons.look()
         listeners = self._bind(self._config)
         with anyio.open_signal_receiver(*signums) as signals:
             async with anyio.create_task_group() as tasks:
@@ -148,6 +152,7 @@
     async def _watch_versions(self) -> None:
         while True:
             self._versions.look()
+            self._cordons.look()
             self._lacking()
             self._succeeded()
             await self._clock.sleep(LOOK)
@@ -181,6 +186,8 @@
         lack = ""
         if not self._exchange.informed:
             lack = "no machine list yet"
+        elif not self._cordons.in_force:
+            lack = "the cordons cannot be read"
         elif not self._lines.accepting or self._lines.scope is None:
             lack = "not listening yet"
         elif not self._exchange.serving or self._lines.scope.cancel_called:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -32,6 +32,7 @@
 from puffinford.fronts.sockets import MGMT_MOST, Budget, Door, Wire, accept_all, bind
 from puffinford.interface import Effect, RequestClass, Server, ServerState, Settings
 from puffinford.management.calls import Calls
+from puffinford.management.cordons import Cordons
 from puffinford.management.http import HttpCalls
 
 Handler = Callable[[anyio.abc.SocketStream], Awaitable[None]]
@@ -162,10 +163,11 @@
         )
         return int(listener.getsockname()[1])
 
-    def management(self, lacking: Callable[[], str] = lambda: "") -> int:
+    def management(self, lacking: Callable[[], str] = lambda: "", state: Path | None = None) -> int:
         """Where the second address listens."""
         door = Door(self.clock, Budget(MGMT_MOST + 1, 0), part=1)
-        return self.front(HttpCalls(Calls(self.exchange, lacking).answer, door).handle, door)
+        calls = Calls(self.exchange, Cordons(state, self.exchange.cordon), lacking)
+        return self.front(HttpCalls(calls.answer, door).handle, door)
 
     async def server(
         self, ident: str, script: Callable[[Peer], Awaitable[None]], front: str = "lines"
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -12,6 +12,7 @@
     Attempt,
     Cancel,
     ClientLeft,
+    Cordoned,
     DelayNote,
     Effect,
     Established,
@@ -336,6 +337,36 @@
     assert c.id not in {script.open(f"s{n}") for n in range(12)}
 
 
+def test_a_cordoned_server_drains_whatever_lists_say_and_comes_back_cold() -> None:
+    script = Script(settings(warm_time=23_000.0, cold_from=0.13), 2)
+    held = [f"c{n}" for n in range(20) if script.open(f"c{n}") == "10.0.0.0:80"]
+    moved = 0
+    for _ in range(30):
+        actions = script.play(Cordoned(frozenset({"10.0.0.0:80"})), after=100.0)
+        script.play(
+            *(
+                Outcome(a.id, 0, "10.0.0.0:80", Result.CANCELLED, 1.0, True)
+                for a in actions
+                if isinstance(a, Move)
+            )
+        )
+        moves = kinds(actions).count("Move")
+        assert moves <= 1, "one after the other"
+        moved += moves
+    assert moved == len(held) > 5
+    for kind in (ListKind.REPLACE, ListKind.UPDATE):
+        script.play(ServerList(kind, [*servers(1, started=script.now), servers(2)[1]]))
+        assert {script.open(f"{kind}{n}") for n in range(20)} == {"10.0.0.1:80"}
+    assert script.balancer.excluded(script.now) == {"10.0.0.0:80"}
+    script.play(Cordoned())
+    first = script.ask("t1")
+    assert sent(first).server == "10.0.0.0:80", "tried at once"
+    assert sent(script.end("t1", "10.0.0.0:80", Result.CONNECT_FAILED)).server == "10.0.0.1:80"
+    script.play(after=600.0)
+    assert script.open("t2") == "10.0.0.0:80", "a trial that it never heard of takes nothing from it"
+    assert {script.open(f"after{n}") for n in range(20)} == {"10.0.0.1:80"}, "cold"
+
+
 def test_subscribes_with_jitter_and_again_after_failures() -> None:
     def first_ask(seed: int) -> float:
         script = Script(settings(list_on_request=True, ask_within=8_000.0), seed=seed)
