--- a/puffinford/fronts/channels/mux.py
+++ b/puffinford/fronts/channels/mux.py
@@ -9,8 +9,7 @@
 import contextlib
 import logging
 from collections import deque
-from collections.abc import Callable
-from contextlib import AbstractContextManager
+from collections.abc import Callable, Iterator
 
 import anyio
 import anyio.abc
@@ -27,7 +26,7 @@
 CHANNELS_MOST = 64  # open channels of one connection; each may hold a window of bytes
 ITEMS_MOST = 256  # pieces and requests that a channel may hold untaken
 CONTROL_MOST = 1_024  # answers that a peer may leave unread
-HELLO = 2_000.0  # a peer that has sent no version line by then is ended
+HELLO = 2_700.0  # a peer that has sent no version line by then is ended; sound ones may write it slowly
 IDLE = 10_000.0  # and one that has opened no channel by then, or has had none open for so long
 
 Open = codec.ChannelOpen
@@ -289,9 +288,10 @@
     async def _read(self) -> codec.Malformed | None:
         packets = codec.Packets(banner=self._client)
         try:
-            with self._waiting(HELLO):
+            with self._waiting(HELLO) as heard:
                 while packets.version is None:
                     packets.feed(await self._wire.read())
+                    heard()
                     payload = packets.next()
                     if payload is not None:
                         self.up.set()
@@ -326,8 +326,14 @@
     def _idle(self) -> bool:
         return self._door is not None and not self._channels
 
-    def _waiting(self, ms: float) -> AbstractContextManager[object]:
-        return self._clock.limit(ms) if self._door is None else self._door.wait(ms)
+    @contextlib.contextmanager
+    def _waiting(self, ms: float) -> Iterator[Callable[[], object]]:
+        with contextlib.ExitStack() as stack:
+            if self._door is not None:
+                yield stack.enter_context(self._door.wait(ms))
+            else:
+                stack.enter_context(self._clock.limit(ms))
+                yield int  # nobody asks
 
     def _take(self, message: codec.Message) -> None:
         match message:
--- a/puffinford/fronts/lines/leg.py
+++ b/puffinford/fronts/lines/leg.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from puffinford.core.values import Busy, Ended, Failed, Message, Up
 from puffinford.fronts.lines import codec
 from puffinford.fronts.sockets import LineReader, Wire
@@ -17,11 +19,16 @@
         """Whether more has come than the lines that were taken."""
         return self._reader.pending
 
-    async def read_line(self) -> bytes:
-        """The next line with its end; what came before an end without one is a line too."""
+    async def read_line(self, heard: Callable[[], None] | None = None) -> bytes:
+        """The next line with its end; what came before an end without one is a line too.
+
+        `heard` is called at each piece of it.
+        """
         while (line := self._reader.next()) is None:
             try:
                 self._reader.feed(await self._wire.read())
+                if heard is not None:
+                    heard()
             except Ended:
                 rest = self._reader.rest()
                 if not rest:
--- a/puffinford/fronts/lines/submitter.py
+++ b/puffinford/fronts/lines/submitter.py
@@ -14,7 +14,9 @@
 
 seldom = Seldom(logging.getLogger(__name__))
 
-FIRST_LINE = 2_000.0  # a connection that has sent no whole line by then is ended; 3 s are allowed
+# A connection that has sent no whole line by then is ended. Bad clients must hear within 3 s, and sound ones
+# may write their line in pieces over 2 s.
+FIRST_LINE = 2_700.0
 PINGS_IDLE = 10_000.0  # one that has sent PING may stay this long for the next
 
 
@@ -30,8 +32,8 @@
         try:
             while True:
                 line = b""
-                with self._door.wait(wait):
-                    line = await leg.read_line()
+                with self._door.wait(wait) as heard:
+                    line = await leg.read_line(heard)
                 if not line:
                     raise codec.BadLine("no line in time")
                 first = codec.decode_first(line)
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -230,11 +230,11 @@
 
 
 class Door:
-    """The connections that have not asked for anything yet, oldest first.
+    """The connections that have not asked for anything yet, the one that has been quiet longest first.
 
-    Guards against peers that connect by the hundreds and say nothing: together these hold no more than
-    their part of the descriptors, and the one that has been quiet longest goes first, for a client
-    that wants something says so at once.
+    Guards against peers that connect by the thousands and say nothing, or stop half way: together these
+    hold no more than their part of the descriptors, and the quietest goes first, for a client that wants
+    something says so at once, or writes on.
     """
 
     def __init__(self, clock: Clock, budget: Budget, part: int = WAITING_PART) -> None:
@@ -248,18 +248,21 @@
         return not self._waiting
 
     @contextmanager
-    def wait(self, ms: float) -> Iterator[None]:
-        """What is within is cancelled after so long, or when its place is needed."""
+    def wait(self, ms: float) -> Iterator[Callable[[], None]]:
+        """What is within is cancelled after so long, or when its place is needed.
+
+        It calls what it is given at each sign of life from its peer.
+        """
         token = object()
         with self.clock.limit(ms) as scope:
             self._waiting[token] = scope
             try:
-                yield
+                yield lambda: self._waiting.update({token: self._waiting.pop(token)})
             finally:
                 del self._waiting[token]
 
     def make_room(self) -> bool:
-        """Send the oldest away where there is no room for one more; tells whether there is room now."""
+        """Send the quietest away where there is no room for one more; tells whether there is room now."""
         scopes = [scope for scope in self._waiting.values() if not scope.cancel_called]
         crowd = len(scopes) - max(1, self.budget.limit // self._part) + 1
         going = max(crowd, int(self.budget.full))
--- a/puffinford/management/http.py
+++ b/puffinford/management/http.py
@@ -39,15 +39,15 @@
 
     async def handle(self, wire: Wire) -> None:
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
-        with self._door.wait(CALL_MOST), contextlib.suppress(Ended, Broken):
+        with self._door.wait(CALL_MOST) as heard, contextlib.suppress(Ended, Broken):
             try:
-                reply = self._answer(await self._read(wire, connection))
+                reply = self._answer(await self._read(wire, connection, heard))
             except h11.RemoteProtocolError as exc:
                 reply = Reply(400, f"cannot be read: {exc}")
             await wire.write(_encode(connection, reply))
             await wire.end()
 
-    async def _read(self, wire: Wire, connection: h11.Connection) -> Call:
+    async def _read(self, wire: Wire, connection: h11.Connection, heard: Callable[[], None]) -> Call:
         """The whole call; raises RemoteProtocolError, Ended or Broken."""
         call: Call | None = None
         body = 0
@@ -55,6 +55,7 @@
             event = connection.next_event()
             if event is h11.NEED_DATA:
                 connection.receive_data(await wire.read())
+                heard()
             elif isinstance(event, h11.Request):
                 call = _call(event)
             elif isinstance(event, h11.Data):
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -191,6 +191,11 @@
             self.clock.advance(100.0)
             await anyio.sleep(0.002)
 
+    async def settle(self) -> None:
+        """Let all that has been sent arrive: the loop turns until nothing is left to do."""
+        for _ in range(50):
+            await anyio.sleep(0)
+
     async def channel_client(self) -> ChannelPeer:
         port = self.front(ChannelSubmitters(self.exchange, self.door).handle)
         return await ChannelPeer(await anyio.connect_tcp("127.0.0.1", port)).hello()
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -122,6 +122,27 @@
             await anyio.aclose_forcefully(stream)
 
 
+async def test_crowds_that_stop_half_way_do_not_displace_a_client_that_writes_slowly() -> None:
+    """A first line in pieces over 2 s was cut off, and the door let go of those that had come first."""
+    async with stage() as here:
+        here.door.budget.limit = 96
+        await here.server("s-1", echo)
+        slow = await here.client()
+        crowd = []
+        for piece in (GOOD + b"\r\n")[:10], (GOOD + b"\r\n")[10:30], (GOOD + b"\r\n")[30:]:
+            for _ in range(20):
+                crowd.append(await anyio.connect_tcp("127.0.0.1", here.port))
+                await crowd[-1].send(b"OPEN 0b")
+            await here.settle()
+            await slow.stream.send(piece)
+            await here.settle()
+            here.clock.advance(800.0)
+        assert await slow.line() == b"UP r1\r\n"
+        assert here.door.budget.used <= 96 // 4 + 2
+        for stream in crowd:
+            await anyio.aclose_forcefully(stream)
+
+
 async def test_with_all_descriptors_in_use_a_newcomer_is_closed_and_the_others_go_on() -> None:
     async with stage() as here:
         here.door.budget.limit = 32 + 7
