--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -77,8 +77,14 @@
 LIMIT_SPARE = 1.1  # how far the class worth most for its load may pass the limit
 INSTANT = 0.001  # times this close are the same: hosts count microseconds, and floats round
 HELD_KEYS = 10_000  # connections remembered after their packets went elsewhere
-EMPTY_OVER = 2_500.0  # the clients of a server that operators take out are moved within this, evenly
+EMPTY_OVER = 2_000.0  # the clients of a server that operators take out are moved within this, evenly
 EMPTY_STEP = 100.0
+GROUP_COST = 3.0  # mean connections that a server pays for each group that it holds any of
+COLD_RATE = (
+    40.0  # connections a second that all balancers together may bring a cold server, by its warmth ...
+)
+COLD_ROOM = 1.5  # ... while it holds no more than this part of what a warm one does, by its warmth
+ABLE_LEAST = 0.5  # of the servers, however few are warm
 COLD_SHARE = 0.5  # part of a warm server's rate: other balancers' chance bursts need the other part
 
 _NEVER_RAN = frozenset((Result.FULL, Result.CONNECT_FAILED, Result.MOOT))
@@ -100,10 +106,10 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "away_at", "cell", "cold_from", "cordoned", "credit", "credit_at", "delay", "down", "failures",
-        "flows", "id", "late_at", "late_notes", "late_until", "listed", "load", "probed_at", "reach",
-        "retry_at", "room", "room_at", "size", "slow_until", "started", "trial", "used", "used_at",
-        "used_since", "zone",
+        "away_at", "cell", "cold_from", "cordoned", "cordoned_at", "credit", "credit_at", "delay", "down",
+        "failures", "flows", "groups", "id", "late_at", "late_notes", "late_until", "listed", "load",
+        "probed_at", "reach", "retry_at", "room", "room_at", "size", "slow_until", "started", "trial",
+        "used", "used_at", "used_since", "zone",
     )  # fmt: skip
 
     def __init__(self, server: Server) -> None:
@@ -112,11 +118,13 @@
         self.cell = server.cell
         self.reach = stable_hash(server.id)  # where it stands in the shuffle common to all balancers
         self.listed = server.state
-        self.cordoned = False  # operators have taken it out
+        self.cordoned = False  # operators have taken it out ...
+        self.cordoned_at = 0.0  # ... at that time
         self.size = server.weight
         self.started = server.started
         self.flows: dict[str, Flow] = {}  # own connections and attempts, by request id
         self.load = 0.0  # their load, in mean connections
+        self.groups: dict[int, int] = {}  # their groups, with the number of each
         self.down = False  # unreachable until a trial stands
         self.away_at: float | None = None  # since when it has taken no connection, if it was tried
         self.failures = 0
@@ -301,12 +309,14 @@
             backend.start_cold(server.started, now, self._rng.random())
         return True
 
-    def cordon(self, servers: frozenset[str]) -> tuple[list[Backend], list[Backend]]:
+    def cordon(self, servers: frozenset[str], now: float) -> tuple[list[Backend], list[Backend]]:
         """Hold the whole set of servers that are out; those newly out, and those that are back."""
         self.cordoned = servers
         changed = [b for b in self.backends.values() if b.cordoned != (b.id in servers)]
         for backend in changed:
             backend.cordoned = not backend.cordoned
+            if backend.cordoned:
+                backend.cordoned_at = now
         if changed:
             self._shuffle()
         return [b for b in changed if b.cordoned], [b for b in changed if not b.cordoned]
@@ -433,12 +443,13 @@
                     self._schedule_trial(backend)
 
     def _on_cordoned(self, event: Cordoned) -> None:
-        out, back = self._fleet.cordon(event.servers)
+        out, back = self._fleet.cordon(event.servers, self._now)
         for backend in out:
             self._empty(backend, self._now + EMPTY_OVER)
         for backend in back:
             # Operators restart what they take out, and no list may have told of it yet: it may be cold.
-            backend.start_cold(self._now, self._now, 1.0)
+            told = backend.started > backend.cordoned_at
+            backend.start_cold(backend.started if told else self._now, self._now, 1.0)
             backend.forget_load()
             # Guards against a server that stays unused: a cold one's part of the traffic would bring it
             # the first connection after a minute, and the working set may never reach it.
@@ -722,6 +733,9 @@
         Guards against all balancers together pushing over a server that has just started: each
         sends it a fraction of what a warm server gets from it, scaled by the warmth. The rate is that
         of connections that ended well: a storm of retries or of cut connections does not raise it.
+        A low rate is granted in any case while the server holds less than its part of the load, by its
+        warmth. This guards a new process, which has seen nothing end, against leaving all that is cold
+        unused: five of six servers stayed empty while the sixth was pushed under.
         """
         warmth = self._warmth(backend)
         if warmth >= 1.0:
@@ -729,10 +743,25 @@
         members = len(self._fleet.order) if self._settings.grouped else len(self._set)
         ends = self._ends * 0.5 ** ((self._now - self._ends_at) / RATE_OVER)
         rate = COLD_SHARE * warmth * ends * 0.693 / RATE_OVER / max(1, members)
+        if not backend.flows or self._cost(backend) <= COLD_ROOM * warmth * self._warm_cost():
+            rate = max(rate, COLD_RATE * warmth / 1_000.0 / self._settings.balancers)
         backend.credit = min(1.0, backend.credit + rate * (self._now - backend.credit_at))
         backend.credit_at = self._now
         return backend.credit >= 1.0
 
+    def _cost(self, backend: Backend) -> float:
+        """The own load of a server, with what it pays for the groups that it holds."""
+        return backend.load + GROUP_COST * len(backend.groups) if self._settings.grouped else backend.load
+
+    def _warm_cost(self) -> float:
+        """The own load that a warm server would have, were it spread by what each can do now."""
+        cost = able = 0.0
+        for backend in self._fleet.order:
+            cost += self._cost(backend)
+            able += 0.0 if backend.down else self._warmth(backend)
+        # Guards against pushing over all that is cold where little else is left to carry the load.
+        return cost / max(able, len(self._fleet.order) * ABLE_LEAST)
+
     # Picking
 
     def _usable(self, backend: Backend) -> bool:
@@ -1032,6 +1061,7 @@
         backend.used_since += flow.load
         if flow.group is not None:
             self._groups[flow.group] = self._groups.get(flow.group, 0) + 1
+            backend.groups[flow.group] = backend.groups.get(flow.group, 0) + 1
 
     def _release(self, flow: Flow) -> None:
         backend = flow.backend
@@ -1045,7 +1075,8 @@
         self._load -= flow.load
         del backend.flows[flow.id]
         if flow.group is not None:
-            self._groups[flow.group] -= 1
-            if not self._groups[flow.group]:
-                del self._groups[flow.group]
+            for groups in (self._groups, backend.groups):
+                groups[flow.group] -= 1
+                if not groups[flow.group]:
+                    del groups[flow.group]
         backend.load = backend.load - flow.load if backend.flows else 0.0
