--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -59,6 +59,8 @@
 RETRY_FIRST = 500.0  # first wait before a trial; about a client's patience, short against a restart
 AWAY_FOR = 1_500.0  # a server that took no connection for so long may have restarted; it takes seconds
 RETRY_MOST = 8_000.0  # longest wait before a trial; a restart takes seconds
+SLOW = 3.0  # times the delay of its messages is over the shortest aim: a server is passed over
+COLD_SLOW = 1.5  # the same for a cold one
 SLOW_FOR = 3_000.0  # a note of slow messages comes each second while it lasts: three missed, it is over
 RATE_OVER = 20_000.0  # ends of own connections are averaged over this long, so that a burst counts little
 MOVE_PART = 0.7  # of the own connections of a late server, moved each note, shared by the late ones
@@ -562,7 +564,8 @@
             return
         falling = event.delay < 0.9 * backend.delay
         backend.delay = event.delay
-        slow = event.delay * 3 > self._shortest_aim
+        # A cold server answers slowly with next to nothing on it: left out for that, it never warms up.
+        slow = event.delay * (COLD_SLOW if backend.cold_from is not None else SLOW) > self._shortest_aim
         backend.slow_until = self._now + SLOW_FOR if slow else 0.0
         self._set_until = -1.0
         if event.delay <= self._shortest_aim or not self._shortest_aim:
@@ -854,11 +857,14 @@
             if backend.down:
                 # Guards the clients against being turned away while servers run that have only broken
                 # a connection: several in a second left a small fleet with none to go to.
-                if backend.away_at is None and not backend.trial and shaken is None:
+                # One whose trials fail too is no better than none.
+                if backend.away_at is None and backend.failures < 3 and not backend.trial and shaken is None:
                     shaken = backend
             elif backend.slow_until <= now:
                 return backend
-            elif slow is None or backend.delay < slow.delay:
+            elif backend.load <= self._room(backend) and (slow is None or backend.delay < slow.delay):
+                # Guards the clients of a late server against all that finds no room elsewhere: a client
+                # that is told when to come back finds some; past its room the server serves nobody in time.
                 slow = backend
         return slow or shaken
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -456,6 +456,37 @@
     assert cold in {script.open(f"t{n}") for n in range(4)}
 
 
+def test_a_new_process_fills_cold_servers_by_their_part_of_the_load() -> None:
+    """It had seen nothing end, so cold servers got nothing, and the one warm one was pushed under."""
+    script = Script(settings(cold_from=0.2, warm_time=10_000.0, balancers=1))
+    cold = [Server(f"cold-{n}", started=script.now) for n in range(4)]
+    script.play(ServerList(ListKind.REPLACE, [Server("warm"), *cold]))
+    homes = [script.open(f"r{n}") for n in range(30) if not script.play(after=30.0)]
+    each = [homes.count(server.id) for server in cold]
+    # After 0.9 s each can do 0.27 of what a warm one can; half as much again is allowed.
+    assert min(each) >= 2 and max(each) <= 0.27 * 1.5 * 30 / (1.0 + 4 * 0.27) + 1
+
+
+def test_past_the_room_of_a_late_server_clients_are_told_when_to_come_back() -> None:
+    """With the others away, all new connections went to the server that was late already."""
+    script = Script(settings(), 1)
+    (home,) = {script.open(f"r{n}") for n in range(10)}
+    script.play(DelayNote("r0", home, 40.0))
+    assert script.open("slow") == home, "late for some, but with room"
+    script.play(DelayNote("r0", home, 90.0))
+    assert kinds(script.ask("late")) == ["Refuse"]
+
+
+@pytest.mark.parametrize(("cold", "passed"), [(False, True), (True, False)])
+def test_a_cold_server_is_not_passed_over_for_being_a_little_slow(cold: bool, passed: bool) -> None:
+    script = Script(settings(cold_from=0.2, warm_time=10_000.0, balancers=1), 2)
+    if cold:
+        script.play(ServerList(ListKind.UPDATE, [replace(servers(1)[0], started=script.now)]))
+    script.play(DelayNote("r0", "10.0.0.0:80", 25.0))
+    homes = {script.open(f"r{n}") for n in range(20) if not script.play(after=100.0)}
+    assert ("10.0.0.0:80" not in homes) is passed
+
+
 def test_cold_servers_get_little_of_a_storm() -> None:
     given = settings(cold_from=0.2, warm_time=10_000.0, balancers=1)
     script = Script(given)
