--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -49,6 +49,7 @@
 HALF_CLOSED = 800.0  # how long a submitter that ended may still hear its server; the rules allow 1 s
 AT_RETRY = 250.0  # between tries of a connection that stood before the run
 MOVE_MOST = 800.0  # a submitter that takes no MOVE in this time is cut off
+SOURCE_MOST = 3_000.0  # a new process waits this long for its list's source before the known list does
 GUARD_AFTER = 25.0  # after a deadline and its slack; on sockets the rules allow 50 ms more
 
 
@@ -117,7 +118,8 @@
         self.figures = Figures()
         self.cordoned: frozenset[str] = frozenset()
         self._named: set[str] = set()  # the servers that a list has named, gone or not
-        self.informed = False  # the machine list's source has been heard of, and there is a list
+        self._started = clock.now()
+        self._heard = False  # the machine list's source has answered or failed
         self._take_settings(settings)
         self._rng = random.Random(seed ^ 0x5EED)
         self._machines: dict[str, Machine] = {}
@@ -161,6 +163,15 @@
             self._take_settings(settings)
             self._balancer.configure(settings)
 
+    @property
+    def informed(self) -> bool:
+        """Whether there is a list to go by: from its source, or the known one when that says nothing.
+
+        Guards a change of versions against a source that is down: the old version has no better list.
+        """
+        late = self._clock.now() >= self._started + SOURCE_MOST
+        return self._heard or (late and bool(self._machines))
+
     @property
     def serving(self) -> bool:
         """Whether an arrival would be served."""
@@ -193,7 +204,7 @@
             self._tell(it.ServerList(it.ListKind.UNAVAILABLE))
         else:
             self._take(machines, it.ListKind.REPLACE if machines.full else it.ListKind.UPDATE)
-        self.informed |= machines is not None or bool(self._machines)
+        self._heard |= machines is not None or bool(self._machines)
 
     def _take(self, machines: MachineList, kind: it.ListKind) -> None:
         if kind is not it.ListKind.UPDATE:
--- a/puffinford/fronts/lines/leg.py
+++ b/puffinford/fronts/lines/leg.py
@@ -4,15 +4,18 @@
 
 from collections.abc import Callable
 
+from anyio.lowlevel import checkpoint
+
 from puffinford.core.values import Busy, Ended, Failed, Message, Up
 from puffinford.fronts.lines import codec
-from puffinford.fronts.sockets import LineReader, Wire
+from puffinford.fronts.sockets import LINES_TURN, LineReader, Wire
 
 
 class LineLeg:
     def __init__(self, wire: Wire) -> None:
         self._wire = wire
         self._reader = LineReader()
+        self._taken = 0
 
     @property
     def pending(self) -> bool:
@@ -34,6 +37,10 @@
                 if not rest:
                     raise
                 return rest
+        self._taken += 1
+        if self._taken % LINES_TURN == 0:
+            # Guards the others against a peer that writes thousands of lines at once.
+            await checkpoint()
         return line
 
     async def receive(self) -> Message:
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -14,6 +14,7 @@
 import os
 import socket
 import struct
+from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 
@@ -29,6 +30,7 @@
 seldom = Seldom(log)
 
 LINE_MOST = 4096  # bytes of a line, its end included
+LINES_TURN = 32  # lines of one connection passed on before others have their turn
 READ_MOST = 16_384  # bytes taken from a connection at a time
 LINGER = 800.0  # how long an ended connection waits for its peer's end; the rules allow 1 s
 LINGER_BYTES = 65_536  # what it reads meanwhile
@@ -173,7 +175,7 @@
     """Cuts a stream of bytes into lines with their ends; too long a line comes out in pieces."""
 
     def __init__(self) -> None:
-        self._lines: list[bytes] = []
+        self._lines: deque[bytes] = deque()
         self._rest = b""
 
     def feed(self, chunk: bytes) -> None:
@@ -184,7 +186,7 @@
             self._rest = b""
 
     def next(self) -> bytes | None:
-        return self._lines.pop(0) if self._lines else None
+        return self._lines.popleft() if self._lines else None
 
     @property
     def pending(self) -> bool:
@@ -264,7 +266,8 @@
     def make_room(self) -> bool:
         """Send the quietest away where there is no room for one more; tells whether there is room now."""
         scopes = [scope for scope in self._waiting.values() if not scope.cancel_called]
-        crowd = len(scopes) - max(1, self.budget.limit // self._part) + 1
+        part = self._part * 2 if self.budget.elsewhere() else self._part  # two versions share the part too
+        crowd = len(scopes) - max(1, self.budget.limit // part) + 1
         going = max(crowd, int(self.budget.full))
         for scope in scopes[: max(0, going)]:
             scope.cancel()
--- a/puffinford/machines/discovery.py
+++ b/puffinford/machines/discovery.py
@@ -46,6 +46,7 @@
         self._unprompted = unprompted  # the module takes changes for told without asking
         self._watching: anyio.CancelScope | None = None
         self._moved_at = float("-inf")
+        self._asked = False
         self._tasks: anyio.abc.TaskGroup | None = None
 
     async def run(self) -> None:
@@ -93,7 +94,11 @@
             while True:
                 path, limit = "/v1/servers", FETCH
                 if self._version is not None:
-                    path, limit = f"{path}?index={self._version}&wait={WAIT}", WAIT + LATE
+                    # Guards a new process against being told nothing for 5 s: the known list may be old, and
+                    # until it has heard from discovery it is not ready.
+                    wait, limit = (WAIT, WAIT + LATE) if self._asked else (0, FETCH)
+                    path = f"{path}?index={self._version}&wait={wait}"
+                self._asked = True
                 if not await self._once(path, limit):
                     if self._clock.now() - self._moved_at >= MOVED_FOR:
                         break  # the module asks again
--- a/puffinford/management/cordons.py
+++ b/puffinford/management/cordons.py
@@ -43,12 +43,9 @@
         with locked(self._path.with_name(self._path.name + ".lock")):
             held = self._read()
             held = held | {ident} if out else held - {ident}
-            fresh = self._path.with_name(f"{self._path.name}.{os.getpid()}")
-            # Guards the yes against a crash, and readers against half a file.
-            with open(fresh, "w", encoding="utf-8") as file:
-                json.dump(sorted(held), file)
-                file.flush()
-                os.fsync(file.fileno())
+            # Guards readers, and whoever starts after a crash, against half a file.
+            fresh = self._path.with_name(self._path.name + ".new")
+            fresh.write_text(json.dumps(sorted(held)), encoding="utf-8")
             os.replace(fresh, self._path)
             self._mark = self._stat()
             self.in_force = True
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -42,6 +42,22 @@
         assert await call(port, "GET /admin/health") == (200, "ready\n")
 
 
+@pytest.mark.parametrize("failed", [True, False], ids=["discovery fails", "discovery says nothing"])
+async def test_with_a_known_list_a_new_process_does_not_wait_for_discovery_for_long(failed: bool) -> None:
+    async with stage() as here:
+        if failed:
+            here.exchange.take_list(None)
+        assert not here.exchange.informed, "there is no list at all"
+        here.list_machine("s-1", 1)
+        here.exchange._heard = False
+        assert not here.exchange.informed
+        if failed:
+            here.exchange.take_list(None)
+        else:
+            here.clock.advance(3_000.0)
+        assert here.exchange.informed
+
+
 async def test_callers_that_stall_and_crowds_of_clients_hold_up_no_call() -> None:
     """The clock stands still: only their number sends the stalled ones away."""
     async with stage() as here:
