--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -46,6 +46,7 @@
 SILENT = 3_500.0
 HUSH = 2_500.0  # a server from which nothing came this long, on any of its connections ...
 HUSH_LINES = 3  # ... while this many of them wait for answers, has vanished
+STALLED = 300.0  # the program itself came this late to its turn: all limits were late by as much
 HALF_CLOSED = 800.0  # how long a submitter that ended may still hear its server; the rules allow 1 s
 AT_RETRY = 250.0  # between tries of a connection that stood before the run
 MOVE_MOST = 800.0  # a submitter that takes no MOVE in this time is cut off
@@ -143,7 +144,11 @@
                 self._tell(it.ServerList(it.ListKind.RESTORED))
             due = self._clock.now()
             while True:
+                before = self._clock.now()
                 await self._clock.sleep(WATCH)
+                late = self._clock.now() - before - WATCH
+                if late > STALLED:
+                    log.warning("stalled", extra={"ms": round(late)})
                 self._move_silent()
                 if self._clock.now() >= due:
                     due = self._clock.now() + ROUND - WATCH / 2.0
--- a/puffinford/management/calls.py
+++ b/puffinford/management/calls.py
@@ -42,6 +42,8 @@
 
     def _cordon(self, ident: str, out: bool) -> Reply:
         if not self._exchange.names(ident):
+            if not self._exchange.informed:
+                return Reply(503, "no machine list yet")
             return Reply(404, "no server has that id")
         try:
             self._cordons.change(ident, out)
--- a/puffinford/management/http.py
+++ b/puffinford/management/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from urllib.parse import unquote, urlsplit
@@ -12,6 +13,8 @@
 from puffinford.core.values import Broken, Ended
 from puffinford.fronts.sockets import Door, Wire
 
+log = logging.getLogger(__name__)
+
 CALL_MOST = 5_000.0  # a caller that has not finished its call by then is closed
 HEAD_MOST = 8_192  # bytes of a call's head
 BODY_MOST = 16_384  # bytes of a body; no call needs one
@@ -40,11 +43,20 @@
     async def handle(self, wire: Wire) -> None:
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
         with self._door.wait(CALL_MOST) as heard, contextlib.suppress(Ended, Broken):
+            method = ""
             try:
-                reply = self._answer(await self._read(wire, connection, heard))
+                call = await self._read(wire, connection, heard)
+                method = call.method
+                reply = self._answer(call)
             except h11.RemoteProtocolError as exc:
                 reply = Reply(400, f"cannot be read: {exc}")
-            await wire.write(_encode(connection, reply))
+            except (Ended, Broken):
+                raise
+            except Exception:
+                # Guards the caller against silence where a fault is ours.
+                log.exception("call failed")
+                reply = Reply(500, "a fault in the balancer; its log says more")
+            await wire.write(_encode(connection, reply, with_body=method != "HEAD"))
             await wire.end()
 
     async def _read(self, wire: Wire, connection: h11.Connection, heard: Callable[[], None]) -> Call:
@@ -58,6 +70,9 @@
                 heard()
             elif isinstance(event, h11.Request):
                 call = _call(event)
+                if connection.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    await wire.write(connection.send(go_on) or b"")
             elif isinstance(event, h11.Data):
                 body += len(event.data)
                 if body > BODY_MOST:
@@ -77,7 +92,7 @@
     return Call(request.method.decode("ascii"), parts)
 
 
-def _encode(connection: h11.Connection, reply: Reply) -> bytes:
+def _encode(connection: h11.Connection, reply: Reply, with_body: bool) -> bytes:
     body = reply.text.encode() + b"\n"
     headers = [
         ("Content-Type", "text/plain; charset=utf-8"),
@@ -89,7 +104,7 @@
         headers.append(("Allow", reply.allow))
     pieces = [
         connection.send(h11.Response(status_code=reply.status, headers=headers)),
-        connection.send(h11.Data(data=body)),
+        connection.send(h11.Data(data=body if with_body else b"")),
         connection.send(h11.EndOfMessage()),
     ]
     return b"".join(piece or b"" for piece in pieces)
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -26,6 +26,12 @@
         (b"GET /admin/health HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", 400),
         (b"GET /" + b"a" * 20_000, 400),
         (b"GET /admin/health HTTP/1.0\r\n\r\n", 200),
+        ("HEAD /admin/health", 405),
+        (
+            b"GET /admin/health HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\nall",
+            100,
+        ),
+        ("POST /admin/cordon/s-1", 503),  # no list yet, so nobody can say that it is unknown
     ],
 )
 async def test_each_call_has_its_answer(said: str | bytes, status: int) -> None:
@@ -33,6 +39,14 @@
         assert (await call(here.management(), said))[0] == status
 
 
+async def test_a_fault_of_ours_is_answered_too() -> None:
+    def lacking() -> str:
+        raise RuntimeError
+
+    async with stage() as here:
+        assert (await call(here.management(lacking), "GET /admin/health"))[0] == 500
+
+
 async def test_ready_means_that_nothing_is_lacking() -> None:
     lack = "no machine list yet"
     async with stage() as here:
