--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -88,6 +88,16 @@
             await anyio.aclose_forcefully(stream)
 
 
+@pytest.mark.parametrize(("ms", "told"), [(500.0, []), (900.0, [400])])
+async def test_the_log_tells_when_the_program_itself_was_late(
+    ms: float, told: list[int], caplog: pytest.LogCaptureFixture
+) -> None:
+    async with stage() as here:
+        here.clock.advance(ms)
+        await here.settle()
+        assert [vars(r)["ms"] for r in caplog.records if r.message == "stalled"] == told
+
+
 @pytest.mark.parametrize("front", ["lines", "channels"])
 async def test_the_figures_count_what_was_answered_and_what_was_written(front: str) -> None:
     async with stage() as here:
