--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
-# build: what run and sim need; test, lint: what CI checks; run: one balancer by $EDGE_CONFIG
-.PHONY: build dev test lint run
+# build: what run and sim need; test, lint: what CI checks; run: one balancer by $EDGE_CONFIG; demo: ten seconds of a
+# small fleet round one balancer; bench-NAME: a measurement, whose last line is `bench NAME key=value ...`
+.PHONY: build dev test lint run demo bench-start
 
 build:
 	test -x .venv/bin/python || python3 -m venv .venv
@@ -16,6 +17,14 @@
 	.ci-venv/bin/ruff check .
 	.ci-venv/bin/ruff format --check .
 	.ci-venv/bin/mypy
+	.ci-venv/bin/lint-imports --no-cache
 
 run: build
 	.venv/bin/python -m puffinford serve
+
+demo: build
+	.venv/bin/python -m puffinford.standins.demo
+
+# BEFORE=TREE plays another checkout of the program in turns
+bench-start: build
+	.venv/bin/python -m benchmarks.start $(if $(BEFORE),--before $(BEFORE))
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements. Each is run by a target of the Makefile."""
--- a/puffinford/__main__.py
+++ b/puffinford/__main__.py
@@ -1,5 +1,17 @@
+"""`python -m puffinford` alone serves, and leaves the command line's library out of memory."""
+
 import sys
 
-from puffinford.cli import main
+from puffinford.start import serve_program
+
+
+def main() -> int:
+    if len(sys.argv) == 1:
+        return serve_program()
+    from puffinford.cli import main as command_line
+
+    return command_line()
+
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -25,7 +25,9 @@
     Established,
     Event,
     Fail,
+    Health,
     Inherited,
+    Learned,
     ListKind,
     LoadNote,
     Log,
@@ -46,6 +48,7 @@
     Settings,
     Subscribe,
     Timer,
+    Unproven,
 )
 
 PREFIX = 3  # entries of the working set where balancers far outnumber servers
@@ -77,6 +80,7 @@
 LIMIT_CUT = 0.4  # of the own load, each time, when all known servers are strained
 LIMIT_GROWTH = 1.03  # each time, once they are not: slow, for all balancers grow together
 LIMIT_SPARE = 1.1  # how far the class worth most for its load may pass the limit
+RESTART_LEAST = 50.0  # starts of a server this close are the same one
 INSTANT = 0.001  # times this close are the same: hosts count microseconds, and floats round
 HELD_KEYS = 10_000  # connections remembered after their packets went elsewhere
 EMPTY_OVER = 2_000.0  # the clients of a server that operators take out are moved within this, evenly
@@ -87,6 +91,7 @@
 )
 COLD_ROOM = 1.5  # ... while it holds no more than this part of what a warm one does, by its warmth
 ABLE_LEAST = 0.5  # of the servers, however few are warm
+HOLD = 2.0  # a request waits so many patiences for claims that prove restored entries, and no longer
 COLD_SHARE = 0.5  # part of a warm server's rate: other balancers' chance bursts need the other part
 
 _NEVER_RAN = frozenset((Result.FULL, Result.CONNECT_FAILED, Result.MOOT))
@@ -111,7 +116,7 @@
         "away_at", "cell", "cold_from", "cordoned", "cordoned_at", "credit", "credit_at", "delay", "down",
         "failures", "flows", "groups", "id", "late_at", "late_notes", "late_until", "listed", "load",
         "probed_at", "reach", "retry_at", "room", "room_at", "size", "slow_until", "started", "trial",
-        "used", "used_at", "used_since", "zone",
+        "unproven", "used", "used_at", "used_since", "zone",
     )  # fmt: skip
 
     def __init__(self, server: Server) -> None:
@@ -128,6 +133,7 @@
         self.load = 0.0  # their load, in mean connections
         self.groups: dict[int, int] = {}  # their groups, with the number of each
         self.down = False  # unreachable until a trial stands
+        self.unproven = False  # named by an old list alone
         self.away_at: float | None = None  # since when it has taken no connection, if it was tried
         self.failures = 0
         self.retry_at = 0.0
@@ -171,8 +177,8 @@
     """One request, from its arrival to its final answer or the end of its connection."""
 
     __slots__ = (
-        "backend", "blamed", "came_back", "cls", "deadline", "group", "id", "key", "load", "midflow", "risk",
-        "risk_at", "sent", "sent_at", "standing", "tried",
+        "backend", "blamed", "came_back", "cls", "deadline", "group", "held_until", "id", "key", "load",
+        "midflow", "paid", "proving", "risk", "risk_at", "sent", "sent_at", "standing", "tried",
     )  # fmt: skip
 
     def __init__(self, request: Request, cls: RequestClass, deadline: float, load: float) -> None:
@@ -188,6 +194,9 @@
         self.sent_at = 0.0
         self.backend: Backend | None = None  # where the present attempt or the connection is
         self.standing = False
+        self.proving = False  # its claim is out to an unproven entry
+        self.paid = False  # such a claim of it failed
+        self.held_until = 0.0  # it waits no longer than this for such claims of others
         self.tried: list[Backend] = []
         self.blamed: list[Backend] = []  # those that answered it with an error
         self.risk: Backend | None = None  # where an earlier attempt may have run
@@ -301,7 +310,8 @@
             backend.cordoned = server.id in self.cordoned
             restarted = True
         else:
-            restarted = server.started > backend.started
+            # Guards against taking a start told twice for two: hosts count from clocks that round.
+            restarted = server.started > backend.started + RESTART_LEAST
             if not restarted and backend.listed is server.state and backend.size == server.weight:
                 return False
             backend.listed = server.state
@@ -375,6 +385,11 @@
         self._failed = False
         self._failed_tries = 0
         self._next_trial = 0.0
+        self._restored = False  # the list is one from before the start, and discovery has not spoken
+        self._patience = 0.0  # for a claim at an unproven entry
+        self._proving_most = 0  # such claims that may be out; 0: any number
+        self._proving = 0  # and that are
+        self._held: dict[str, Flow] = {}  # requests that wait for what those claims tell
         self._probe_credit = 0.0
         self._probing = False  # a round of probes is due
         self._take_settings(settings)
@@ -388,6 +403,8 @@
             Timer: self._on_timer,
             ServerList: self._on_list,
             Cordoned: self._on_cordoned,
+            Unproven: self._on_unproven,
+            Learned: self._on_learned,
             Inherited: self._on_inherited,
             ProbeResult: self._on_probe,
             PeerMessage: self._on_peer,
@@ -435,15 +452,78 @@
             if not backend.open or backend.down or backend.slow_until > now
         }
 
+    def health(self, now: float) -> list[Health]:
+        """What is known of the servers of which there is anything to tell."""
+        told = []
+        for b in self._fleet.backends.values():
+            failures = b.failures if b.down else 0
+            room = b.room if now < b.room_at + ROOM_FOR else None
+            if (
+                failures
+                or room is not None
+                or b.cold_from is not None
+                or max(b.slow_until, b.late_until) > now
+            ):
+                late = max(b.late_at, 0.0)
+                health = Health(b.id, now, failures, b.retry_at, b.away_at, b.slow_until, late, b.delay, room)
+                health.room_at = max(b.room_at, 0.0)
+                health.cold_from = b.cold_from
+                told.append(health)
+        return told
+
     # Events
 
     def _on_list(self, event: ServerList) -> None:
+        if event.kind is ListKind.RESTORED:
+            self._restored = True
+        elif event.kind is not ListKind.UNAVAILABLE and self._restored:
+            self._restored = False
+            self._timers.at(self._now, self._discovery_speaks)
         if self._fleet.take(event, self._now):
             self._set_until = -1.0
             for backend in self._fleet.backends.values():
                 if backend.down and backend.open and not backend.trial:
                     self._schedule_trial(backend)
 
+    def _discovery_speaks(self) -> None:
+        """The first list since the start: nothing has to prove itself any more."""
+        for backend in self._fleet.backends.values():
+            backend.unproven = False
+            if backend.listed is ServerState.GONE:
+                self._empty(backend, self._now + EMPTY_OVER)
+        self._try_held()
+
+    def _on_unproven(self, event: Unproven) -> None:
+        self._proving_most = event.most
+        self._patience = event.patience
+        for backend in self._fleet.backends.values():
+            backend.unproven = self._restored and backend.id in event.servers
+
+    def _on_learned(self, event: Learned) -> None:
+        now = self._now
+        for health in event.entries:
+            b = self._fleet.backends.get(health.server)
+            if b is None or b.started > health.told_at:
+                continue
+            if health.failures and not b.down and not any(flow.standing for flow in b.flows.values()):
+                b.down = True
+                b.failures = health.failures
+                b.away_at = health.away_at
+                b.retry_at = max(now, health.retry_at)
+                heapq.heappush(self._due, (b.retry_at, b.id))
+            if health.late_at > b.late_at:
+                b.late_at = health.late_at
+                b.delay = health.delay
+                b.slow_until = max(b.slow_until, health.slow_until)
+            if health.room is not None and health.room_at > b.room_at:
+                b.room = health.room
+                b.room_at = health.room_at
+            if health.cold_from is not None and b.cold_from is None:
+                b.cold_from = health.cold_from
+                b.credit = 0.0
+                b.credit_at = now
+        self._set_until = -1.0
+
     def _on_cordoned(self, event: Cordoned) -> None:
         out, back = self._fleet.cordon(event.servers, self._now)
         for backend in out:
@@ -465,7 +545,7 @@
 
     def _empty(self, backend: Backend, until: float) -> None:
         """Move the clients of a server that is out, evenly, so that they do not all come back together."""
-        if not backend.cordoned:
+        if not backend.cordoned and backend.listed is not ServerState.GONE:
             return
         standing = [flow for flow in backend.flows.values() if flow.standing]
         steps = max(1, int((until - self._now) / EMPTY_STEP))
@@ -502,6 +582,8 @@
         flow.tried = []
         backend = flow.backend
         self._failed = False
+        self._end_proving(flow)
+        backend.unproven = False
         if backend.down:
             backend.down = False
             backend.failures = 0
@@ -515,6 +597,7 @@
             self._set_until = -1.0
         backend.trial = False
         backend.away_at = None
+        self._try_held()
 
     def _on_outcome(self, event: Outcome) -> None:
         flow = self._flows.get(event.id)
@@ -527,6 +610,7 @@
             self._take_report(backend, event.report)
             if result is not Result.OK and result is not Result.CANCELLED and result is not Result.MOOT:
                 self._failure(backend)
+                flow.paid |= backend.unproven
                 if result is Result.CONNECT_FAILED:
                     backend.away_at = self._now if backend.away_at is None else backend.away_at
                     if backend.cold_from is not None:
@@ -547,6 +631,7 @@
             flow.risk = backend
             flow.risk_at = flow.sent_at
         self._send(flow)
+        self._try_held()
 
     def _on_load(self, event: LoadNote) -> None:
         flow = self._flows.get(event.id)
@@ -612,10 +697,12 @@
         flow = self._flows.pop(event.id, None)
         if flow is None:
             return
+        self._held.pop(flow.id, None)
         backend = flow.backend
         self._release(flow)
         if backend is None:
             return
+        self._try_held()
         if backend.trial and not flow.standing:
             backend.trial = False
             self._schedule_trial(backend)
@@ -711,7 +798,7 @@
                 continue
             if not backend.open:
                 continue
-            if not self._fits_cold(backend):
+            if not (self._may_prove(flow, backend) and self._fits_cold(backend)):
                 # Guards a cold server against never being tried again: it has no room for it yet.
                 self._schedule_trial(backend)
                 continue
@@ -854,6 +941,8 @@
         for backend in self._fleet.order:
             if backend in flow.tried or not flow.may_go_to(backend, now) or not self._fits_cold(backend):
                 continue
+            if not self._may_prove(flow, backend):
+                continue
             if backend.down:
                 # Guards the clients against being turned away while servers run that have only broken
                 # a connection: several in a second left a small fleet with none to go to.
@@ -879,6 +968,7 @@
             and b not in tried
             and b.load <= self._room(b)
             and flow.may_go_to(b, now)
+            and (not b.unproven or self._may_prove(flow, b))
         ]
         if not fit:
             return None
@@ -923,11 +1013,14 @@
                 return
             backend = self._pick(flow) or self._last_resort(flow)
             if backend is None:
-                self._finish(flow)
+                if not self._hold(flow):
+                    self._finish(flow)
                 return
         if backend.cold_from is not None:
             backend.credit -= 1.0
         timeout = 0.0 if attempts == 1 else left / 2
+        if backend.unproven and flow.cls.effect is Effect.SAFE:
+            timeout = min(timeout or left, self._patience)
         self._occupy(flow, backend)
         flow.sent += 1
         flow.sent_at = now
@@ -948,6 +1041,41 @@
             return None
         return backend
 
+    def _may_prove(self, flow: Flow, backend: Backend) -> bool:
+        """Whether this client may be the one that tries an entry which nobody has proved yet.
+
+        Guards the clients after a start on an old list: few meet a dead entry, and none of them two
+        while there is a sound one; a request that may not be repeated meets none then.
+        """
+        if not backend.unproven:
+            return True
+        if self._proving_most and self._proving >= self._proving_most:
+            return False
+        if not flow.paid and flow.cls.effect is Effect.SAFE:
+            return True
+        return not any(not b.unproven and not b.down for b in self._fleet.order)
+
+    def _hold(self, flow: Flow) -> bool:
+        """Keep a request until the claims that are out to unproven entries tell where it can go."""
+        if not self._proving or (flow.held_until and self._now >= flow.held_until - INSTANT):
+            return False
+        if not any(b.unproven and not b.down and b not in flow.tried for b in self._fleet.order):
+            return False
+        if not flow.held_until:
+            flow.held_until = self._now + HOLD * self._patience
+            self._timers.at(flow.held_until, self._try_held)
+        self._held[flow.id] = flow
+        return True
+
+    def _try_held(self) -> None:
+        held, self._held = self._held, {}
+        for flow in held.values():
+            self._send(flow)
+
+    def _end_proving(self, flow: Flow) -> None:
+        self._proving -= flow.proving
+        flow.proving = False
+
     def _overloaded(self, flow: Flow) -> bool:
         """Whether to turn this request away because most servers answer their messages too late.
 
@@ -1061,6 +1189,8 @@
 
     def _occupy(self, flow: Flow, backend: Backend) -> None:
         flow.backend = backend
+        flow.proving = backend.unproven
+        self._proving += flow.proving
         backend.flows[flow.id] = flow
         backend.load += flow.load
         self._load += flow.load
@@ -1074,6 +1204,7 @@
         if backend is None:
             return
         flow.backend = None
+        self._end_proving(flow)
         if self._settings.pass_through and flow.standing and flow.key is not None:
             self._holders[flow.key] = (backend.id, self._now)
             if len(self._holders) > HELD_KEYS:
--- a/puffinford/config.py
+++ b/puffinford/config.py
@@ -5,9 +5,8 @@
 import json
 import logging
 import math
-import tomllib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -15,11 +14,10 @@
 from puffinford.core.values import MachineList
 from puffinford.interface import Settings
 from puffinford.machines.entries import BadEntry, machine_list, parse_address
+from puffinford.operators import DEFAULT_FILE, BadSettings, OperatorSettings, load_settings
 
 log = logging.getLogger(__name__)
 
-CHANNELS = Path("deploy/channels.toml")
-
 
 class BadConfig(Exception):
     """The configuration cannot be used; the text says where and why."""
@@ -44,40 +42,21 @@
     known: MachineList | None
     inventory: Path | None = None
     limits: Limits = Limits()
-    channels: tuple[str, int] | None = None  # where the channel front listens
+    operators: OperatorSettings = field(default_factory=OperatorSettings)
     mgmt: tuple[str, int] | None = None  # the second address
     socket_fd: int | None = None  # the platform's listening socket, where it holds one
     state: str | None = None  # the directory that the versions of this balancer share
 
+    @property
+    def channels(self) -> tuple[str, int] | None:
+        """Where the channel front listens; None where it is off."""
+        return self.operators.channels.listen if self.operators.channels.enabled else None
+
 
 def _reject(text: str) -> None:
     log.warning("known entry rejected", extra={"error": text})
 
 
-def load_channels(path: Path) -> tuple[str, int] | None:
-    """Where the channel front listens; None where it is off or its default file is not there."""
-    try:
-        told = tomllib.loads(path.read_text(encoding="utf-8"))
-    except FileNotFoundError:
-        if path == CHANNELS:
-            return None
-        raise BadConfig(f"{path}: no such file") from None
-    except (OSError, ValueError) as exc:
-        raise BadConfig(f"{path}: {exc}") from None
-    enabled = told.get("enabled", False)
-    if not isinstance(enabled, bool):
-        raise BadConfig(f"{path}: enabled: not true or false")
-    if not enabled:
-        return None
-    try:
-        address = _address(told, "listen")
-    except BadConfig as exc:
-        raise BadConfig(f"{path}: {exc}") from None
-    if address is None:
-        raise BadConfig(f"{path}: listen: missing")
-    return address
-
-
 def _address(told: Mapping[str, Any], name: str) -> tuple[str, int] | None:
     text = told.get(name)
     if text is None:
@@ -112,7 +91,7 @@
     env: Mapping[str, str],
     from_unix: Callable[[float], float],
     inventory: Path | None = None,
-    channels: Path = CHANNELS,
+    operators: Path = DEFAULT_FILE,
     *,
     again: bool = False,
 ) -> Config:
@@ -162,7 +141,11 @@
         raise BadConfig("discovery: missing, and no inventory is given")
     name = str(told.get("name", ""))
     limits = _limits(told.get("limits"))
-    front, mgmt = load_channels(channels), _address(told, "mgmt")
+    mgmt = _address(told, "mgmt")
+    try:
+        told_by_operators = load_settings(operators).settings
+    except BadSettings as exc:
+        raise BadConfig(str(exc)) from None
     return Config(
         name,
         listen,
@@ -172,7 +155,7 @@
         known,
         inventory,
         limits,
-        front,
+        told_by_operators,
         mgmt,
         _descriptor(env.get("EDGE_SOCKET_FD")),
         env.get("TMPDIR") or None,
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -32,6 +32,7 @@
     MachineSource,
     Message,
     Opening,
+    Restored,
     ServerSide,
     SubmitterLeg,
     Up,
@@ -51,6 +52,7 @@
 AT_RETRY = 250.0  # between tries of a connection that stood before the run
 MOVE_MOST = 800.0  # a submitter that takes no MOVE in this time is cut off
 SOURCE_MOST = 3_000.0  # a new process waits this long for its list's source before the known list does
+NAMED_MOST = 64  # machines of a list that the log names; thousands would hold up a start
 GUARD_AFTER = 25.0  # after a deadline and its slack; on sockets the rules allow 50 ms more
 
 
@@ -131,17 +133,22 @@
         self._tasks: anyio.abc.TaskGroup
         self._leaving = False
 
-    async def run(self, source: MachineSource, known: MachineList | None = None) -> None:
-        """Serve until cancelled. Jobs may come once this has started."""
+    async def run(self, source: MachineSource, restored: Restored | None = None) -> None:
+        """Serve until cancelled. Jobs may come once this has started.
+
+        `restored` is what there is to go by until the source has spoken.
+        """
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             self._source = source
             if self.cordoned:
                 self._tell(it.Cordoned(self.cordoned))
-            if known is not None:
-                self._take(known, it.ListKind.RESTORED)
-            else:
+            if restored is None:
                 self._tell(it.ServerList(it.ListKind.RESTORED))
+            else:
+                self._take(restored.machines, it.ListKind.RESTORED)
+                self._tell(it.Unproven(restored.unproven, restored.most, restored.patience))
+                self.learn(restored.health)
             due = self._clock.now()
             while True:
                 before = self._clock.now()
@@ -191,6 +198,15 @@
             "servers_excluded": len(excluded & self._machines.keys()),
         }
 
+    def health(self) -> list[it.Health]:
+        """What the module knows of the servers besides the list."""
+        return self._balancer.health(self._clock.now())
+
+    def learn(self, health: list[it.Health]) -> None:
+        """Tell the module what another process of this balancer knew."""
+        if health:
+            self._tell(it.Learned(health))
+
     def cordon(self, servers: frozenset[str]) -> None:
         """These servers are out, and no others, whatever the machine list says."""
         self.cordoned = servers
@@ -220,7 +236,9 @@
                 self._machines.pop(machine.server.id, None)
             else:
                 self._machines[machine.server.id] = machine
-        for machine in machines.machines:
+        if len(machines.machines) > NAMED_MOST:
+            log.info("machines", extra={"entries": len(machines.machines), "list": kind.value})
+        for machine in machines.machines[:NAMED_MOST]:
             server = machine.server
             up_s = round((self._clock.now() - server.started) / 1_000.0, 1) if server.started else "long"
             told = {"server": server.id, "state": server.state.value, "up_s": up_s, "list": kind.value}
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -8,7 +8,7 @@
 from enum import Enum
 from typing import Protocol
 
-from puffinford.interface import Result, Server
+from puffinford.interface import Health, Result, Server
 
 
 class BadOpening(Exception):
@@ -140,6 +140,20 @@
     machines: list[Machine] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class Restored:
+    """What a start goes by before discovery has spoken: a list, and how far it can be relied on.
+
+    At most `most` claims (0: any number) are out at once to entries in `unproven`, for `patience` ms each.
+    """
+
+    machines: MachineList
+    unproven: frozenset[str] = frozenset()
+    most: int = 0
+    patience: float = 400.0
+    health: list[Health] = field(default_factory=list)
+
+
 class Leg(Protocol):
     """One side's connection of a job."""
 
--- a/puffinford/interface.py
+++ b/puffinford/interface.py
@@ -179,6 +179,44 @@
     servers: frozenset[str] = frozenset()
 
 
+@dataclass(slots=True)
+class Unproven:
+    """Entries of a restored list that have to prove themselves, until a claim stands there or discovery
+    speaks.
+
+    At most `most` claims are out to them together (0: any number), each for `patience` ms where its
+    request may be repeated. It comes after the restored list.
+    """
+
+    servers: frozenset[str] = frozenset()
+    most: int = 0
+    patience: float = 400.0
+
+
+@dataclass(slots=True)
+class Health:
+    """What is known of one server besides its place in the list. Times are the host's, in ms."""
+
+    server: str
+    told_at: float  # when it was so: a server that has started since is another
+    failures: int = 0  # failed trials on end; 0: reachable
+    retry_at: float = 0.0  # when the next trial is due
+    away_at: float | None = None  # since when it has taken no connection
+    slow_until: float = 0.0  # passed over for slow messages
+    late_at: float = 0.0  # its messages were last too late; 0: never
+    delay: float = 0.0  # what a message took there then, in ms
+    room: float | None = None  # own load that it can carry, in mean connections ...
+    room_at: float = 0.0  # ... as late messages showed then
+    cold_from: float | None = None  # it started then, and may still be cold
+
+
+@dataclass(slots=True)
+class Learned:
+    """What another process of this balancer has learned. It never outweighs what this one has seen."""
+
+    entries: list[Health] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class Request:
     """A client wants a connection; it is owed one final answer within `left`."""
@@ -269,6 +307,8 @@
 Event = (
     ServerList
     | Cordoned
+    | Unproven
+    | Learned
     | Request
     | Inherited
     | Established
--- a/puffinford/machines/discovery.py
+++ b/puffinford/machines/discovery.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import random
 from collections.abc import Callable
 
 import anyio
@@ -34,13 +35,18 @@
     def __init__(
         self,
         address: tuple[str, int],
-        known: MachineList | None,
+        version: int | None,
         clock: Clock,
-        take: Callable[[MachineList | None], None],
+        take: Callable[[MachineList | None], int | None],
         unprompted: bool = False,
+        rng: random.Random | None = None,
     ) -> None:
+        """`take` hears each answer, or None for a call that failed, and says from which version the next call
+        goes on:
+        None for the whole list. `version` is where the first call goes on from."""
         self._address = address
-        self._version = known.version if known is not None else None  # 0 is a version too
+        self._version = version  # 0 is a version too
+        self._rng = rng or random.Random()
         self._clock = clock
         self._take = take
         self._unprompted = unprompted  # the module takes changes for told without asking
@@ -102,7 +108,8 @@
                 if not await self._once(path, limit):
                     if self._clock.now() - self._moved_at >= MOVED_FOR:
                         break  # the module asks again
-                    await self._clock.sleep(MOVED_RETRY)
+                    # Guards discovery against all balancers of a reload asking in step.
+                    await self._clock.sleep(MOVED_RETRY * (0.5 + self._rng.random()))
         if self._watching is scope:
             self._watching = None
 
@@ -113,9 +120,8 @@
             log.warning("discovery failed", extra={"path": path, "error": str(exc)})
             self._take(None)
             return False
-        self._version = machines.version
         log.info("discovery", extra={"version": machines.version, "entries": len(machines.machines)})
-        self._take(machines)
+        self._version = self._take(machines)
         return True
 
     async def _call(self, path: str, wait: float) -> MachineList:
--- a/puffinford/machines/inventory.py
+++ b/puffinford/machines/inventory.py
@@ -113,7 +113,7 @@
 class InventoryFile:
     """A machine source: the whole list at the start and whenever the file has changed."""
 
-    def __init__(self, path: Path, clock: Clock, take: Callable[[MachineList | None], None]) -> None:
+    def __init__(self, path: Path, clock: Clock, take: Callable[[MachineList | None], object]) -> None:
         self._path = path
         self._clock = clock
         self._take = take
--- a/puffinford/management/versions.py
+++ b/puffinford/management/versions.py
@@ -15,7 +15,6 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
-from urllib.parse import quote
 
 PLACES = 4  # processes that may live at a time; two is usual
 OWN_FILES = 16  # descriptors of a process besides its counted sockets
@@ -23,11 +22,6 @@
 _READY_AT, _HELD_AT = 4, 8
 
 
-def state_path(directory: str | None, balancer: str) -> Path | None:
-    """Where the versions of a balancer keep what they share, as the start of file names; None without one."""
-    return Path(directory) / f"puffinford.{quote(balancer, safe='')}" if directory else None
-
-
 @contextmanager
 def locked(path: Path) -> Iterator[None]:
     """One process at a time; what is within takes no longer than a few file calls."""
--- /dev/null
+++ b/puffinford/operators/__init__.py
@@ -0,0 +1,15 @@
+"""The operators' file: one setting a line, in sections, checked into typed values."""
+
+from puffinford.operators.lines import BadSettings
+from puffinford.operators.loading import DEFAULT_FILE, Loaded, load_settings
+from puffinford.operators.schema import ChannelSettings, OperatorSettings, StateSettings
+
+__all__ = [
+    "DEFAULT_FILE",
+    "BadSettings",
+    "ChannelSettings",
+    "Loaded",
+    "OperatorSettings",
+    "StateSettings",
+    "load_settings",
+]
--- /dev/null
+++ b/puffinford/operators/schema.py
@@ -0,0 +1,78 @@
+"""What can be set in the operators' file: a dataclass a section, a field a keyword.
+
+A field's metadata holds its reader (`puffinford/operators/units.py`), how its value is shown, and a line for
+`puffinford check`. The keyword is the field's name with dashes. Defaults are what the platform runs with.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+from puffinford.operators import units
+from puffinford.operators.units import Reader
+
+MIN = 60_000.0
+HOUR = 60 * MIN
+DAY = 24 * HOUR
+
+
+def _show(value: Any) -> str:
+    if isinstance(value, bool):
+        return "on" if value else "off"
+    if isinstance(value, tuple):
+        return "{}:{}".format(*value)
+    return "none" if value is None else str(value)
+
+
+def setting(default: Any, read: Reader, doc: str, show: Callable[[Any], str] = _show) -> Any:
+    """A field with its keyword's reader and a line of documentation."""
+    return field(default=default, metadata={"read": read, "doc": doc, "show": show})
+
+
+def _time(default: float, low: float, high: float, doc: str) -> Any:
+    return setting(default, units.duration(low, high), doc, units.show_duration)
+
+
+@dataclass(frozen=True)
+class StateSettings:
+    """`section state`: what outlives the process. Durations in ms, sizes in bytes."""
+
+    directory: str | None = setting(None, units.path, "where the store is kept for good; none: nowhere")
+    versions: bool = setting(True, units.flag, "share what is learned with the next version through TMPDIR")
+    size: int = setting(
+        4 << 20, units.size(256 << 10, 1 << 30), "the store never grows past this", units.show_size
+    )
+    write_every: float = _time(500.0, 50.0, MIN, "changes are gathered for so long before a write")
+    fresh: float = _time(MIN, 0.0, DAY, "a list no older is used almost as if told now")
+    distrust: float = _time(DAY, 1_000.0, 365 * DAY, "a list older than this is tried one claim at a time")
+    known_age: float = _time(MIN, 0.0, 365 * DAY, "the age that the configuration's known list is given")
+    patience: float = _time(400.0, 50.0, 10_000.0, "for a claim at an entry of a fresh list")
+    patience_old: float = _time(150.0, 50.0, 10_000.0, "for a claim at an entry of a list of no trust")
+    learned_for: float = _time(MIN, 1_000.0, HOUR, "what was learned of a server counts no longer than this")
+    forget_after: float = _time(DAY, MIN, 365 * DAY, "servers that left are remembered for so long")
+
+
+@dataclass(frozen=True)
+class ChannelSettings:
+    """`section channels`: the channel front."""
+
+    enabled: bool = setting(False, units.flag, "whether the channel front listens")
+    listen: tuple[str, int] = setting(("127.0.0.1", 8122), units.address, "IP:PORT where it listens")
+
+
+@dataclass(frozen=True)
+class OperatorSettings:
+    """All sections."""
+
+    state: StateSettings = StateSettings()
+    channels: ChannelSettings = ChannelSettings()
+
+
+SECTIONS: dict[str, type[Any]] = {"state": StateSettings, "channels": ChannelSettings}
+
+
+def keywords(section: str) -> dict[str, Any]:
+    """The fields of a section by keyword, in their order."""
+    return {entry.name.replace("_", "-"): entry for entry in fields(SECTIONS[section])}
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import signal
 import socket
 from collections.abc import AsyncIterator, Callable
@@ -14,7 +15,8 @@
 from puffinford.config import BadConfig, Config
 from puffinford.core.clock import Clock
 from puffinford.core.exchange import Exchange
-from puffinford.core.values import ServerSide
+from puffinford.core.places import state_path
+from puffinford.core.values import MachineList, ServerSide
 from puffinford.fronts.channels.server import ChannelServers
 from puffinford.fronts.channels.submitter import ChannelSubmitters
 from puffinford.fronts.lines.server import LineServers
@@ -37,7 +39,9 @@
 from puffinford.management.calls import Calls
 from puffinford.management.cordons import Cordons
 from puffinford.management.http import HttpCalls
-from puffinford.management.versions import Versions, state_path
+from puffinford.management.versions import Versions
+from puffinford.state.keeper import Keeper, store_file
+from puffinford.state.recovery import ListGuard
 
 log = logging.getLogger(__name__)
 
@@ -79,15 +83,22 @@
         self._channel_servers = ChannelServers(clock, self._budget, connect_timeout)
         sides: dict[str, ServerSide] = {"lines": self._line_servers, "channels": self._channel_servers}
         self._exchange = Exchange(config.settings, config.seed, clock, sides)
+        place = store_file(config.operators.state, config.state, config.name)
+        exchange = self._exchange
+        self._keeper = Keeper(config.operators.state, place, clock, exchange.health, exchange.learn)
+        start = self._keeper.start(config.known)
+        self._restored = start.restored
+        self._guard = ListGuard(start.version, start.restored.machines.machines)
         self._source: DiscoveryWatch | InventoryFile
         if config.inventory is not None:
-            self._source = InventoryFile(config.inventory, clock, self._exchange.take_list)
+            self._source = InventoryFile(config.inventory, clock, self._take_list)
             self._source.check()
         else:
             assert config.discovery is not None
             unprompted = not config.settings.list_on_request
+            rng = random.Random(config.seed ^ 0xD15C)
             self._source = DiscoveryWatch(
-                config.discovery, config.known, clock, self._exchange.take_list, unprompted
+                config.discovery, start.version, clock, self._take_list, unprompted, rng
             )
         self._lines = Front("lines", LineSubmitters(self._exchange, door).handle, door)
         self._channels = Front("channels", ChannelSubmitters(self._exchange, door).handle, door)
@@ -103,6 +114,22 @@
         self._budget.elsewhere = lambda: self._versions.held_elsewhere
         self._tasks: anyio.abc.TaskGroup
         self._draining = False
+        self._ready = False
+
+    def _take_list(self, machines: MachineList | None) -> int | None:
+        """An answer of the list's source, or None for none; the version that the next call goes on from."""
+        if machines is None:
+            self._exchange.take_list(None)
+            return self._guard.version
+        if isinstance(self._source, InventoryFile):
+            self._guard.moved()  # the file counts anew in each process, and is the operators' word
+        taken = self._guard.judge(machines)
+        if taken.note:
+            log.warning("discovery doubted", extra={"why": taken.note})
+        if taken.machines is not None:
+            self._exchange.take_list(taken.machines)
+            self._keeper.note_list(taken.machines)
+        return taken.version
 
     async def run(self) -> None:
         signums = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -116,8 +143,9 @@
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
                 tasks.start_soon(self._channel_servers.run)
-                tasks.start_soon(self._exchange.run, self._source, self._config.known)
+                tasks.start_soon(self._exchange.run, self._source, self._restored)
                 tasks.start_soon(self._source.run)
+                tasks.start_soon(self._keeper.run)
                 tasks.start_soon(self._watch_versions)
                 self._listen(listeners)
                 await self._obey(signals)
@@ -140,6 +168,8 @@
         longest = min(DRAIN_MOST, max(cls.deadline for cls in self._config.settings.classes))
         self._versions.look()
         settle = 0.0 if self._versions.succeeded else DRAIN_FROM
+        if self._versions.succeeded:
+            self._keeper.let_go()
         await self._exchange.drain(settle, longest + KILL_AFTER - settle - DRAIN_SPARE)
         log.info("drained")
         with self._clock.limit(STAY):
@@ -193,7 +223,12 @@
         elif not self._exchange.serving or self._lines.scope.cancel_called:
             lack = "leaving"
         # Guards the change of versions: the old one's SIGTERM may follow a yes within milliseconds.
-        self._versions.tell_ready(not (lack or self._draining))
+        ready = not (lack or self._draining)
+        if ready and not self._ready:
+            # As of the moment of the yes: until then the old version is the one that learns.
+            self._keeper.take_over()
+        self._ready = ready
+        self._versions.tell_ready(ready)
         return lack
 
     def _bind(self, config: Config) -> list[tuple[Front, socket.socket]]:
@@ -243,12 +278,16 @@
         except (BadConfig, OSError) as exc:
             log.error("reload failed", extra={"error": str(exc)})
             return
-        self._config = config
+        old, self._config = self._config, config
+        if config.operators.state != old.operators.state:
+            log.warning("state settings", extra={"in_force": "at the next start"})
         self._budget.limit = config.limits.sockets
         self._exchange.configure(config.settings)
         self._line_servers.connect_timeout = config.settings.connect_timeout
         self._channel_servers.connect_timeout = config.settings.connect_timeout
         if isinstance(self._source, DiscoveryWatch) and config.discovery is not None:
+            if config.discovery != old.discovery:
+                self._guard.moved()
             self._source.move(config.discovery)
         self._listen(made)
         log.info("reloaded", extra={"balancer": config.name})
--- /dev/null
+++ b/puffinford/standins/balancer.py
@@ -0,0 +1,172 @@
+"""The balancer as a process of its own, as an installation starts it."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from puffinford.standins.clients import Kind
+from puffinford.standins.listeners import HOST
+
+
+def facts(kinds: Sequence[Kind], balancers: int = 1, me: int = 0, **more: Any) -> dict[str, Any]:
+    """The settings of an installation with these classes, as its configuration holds them."""
+    told: dict[str, Any] = {
+        "classes": [
+            {
+                "name": kind.name,
+                "aim": kind.aim,
+                "give_up": kind.give_up,
+                "repeat": "idempotent",
+                "group": "all",
+                "gain": kind.worth,
+                "stream": True,
+                "window": 5_000.0,
+            }
+            for kind in kinds
+        ],
+        "balancers": balancers,
+        "me": me,
+        "discovery": "subscribe",
+        "domain": {
+            "groups": True,
+            "message_aim": [100.0] * len(kinds),
+            "tells_delay": True,
+            "mode": "proxy",
+        },
+        "permissions": {
+            "cancel": True,
+            "connect_timeout": 120.0,
+            "max_attempts": 4,
+            "max_retry_after": 1_500.0,
+            "retry_after": True,
+        },
+        "rules": {
+            "answer_slack": 8.0,
+            "ask_within": 10_000.0,
+            "cold_from": 0.13,
+            "fall": 1_000.0,
+            "ramp_time": 23_000.0,
+            "stop_sending_within": 3_000.0,
+            "tip_multiple": 3.0,
+        },
+        "tick": 2.0,
+    }
+    return {**told, **more}
+
+
+def free_port() -> int:
+    """A port that was free a moment ago."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return int(sock.getsockname()[1])
+
+
+class BalancerProcess:
+    """One balancer under a name and an address that it keeps over restarts. Its log is in `directory`."""
+
+    def __init__(
+        self,
+        name: str,
+        directory: Path,
+        discovery: str,
+        settings: Mapping[str, Any],
+        known: Mapping[str, Any] | None = None,
+        operators: str = "",
+        root: Path | None = None,
+        seed: int = 1,
+    ) -> None:
+        """`operators` is the text of its operators' file, `root` another source tree to run."""
+        self.name = name
+        self.port = free_port()
+        self.mgmt = free_port()
+        self.directory = directory
+        self.log = directory / f"{name}.log"
+        self._root = root
+        self._process: subprocess.Popen[bytes] | None = None
+        self._config = directory / f"{name}.json"
+        self._operators = directory / f"{name}.conf" if operators else None
+        if self._operators is not None:
+            self._operators.write_text(operators)
+        told = {
+            "name": name,
+            "listen": f"{HOST}:{self.port}",
+            "mgmt": f"{HOST}:{self.mgmt}",
+            "discovery": discovery,
+            "seed": f"{seed:x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4_096},
+            "settings": settings,
+        }
+        if known is not None:
+            told["known"] = known
+        self._config.write_text(json.dumps(told))
+
+    @property
+    def running(self) -> bool:
+        """Whether the process is there."""
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def pid(self) -> int:
+        """Of the process; it must have been started."""
+        assert self._process is not None
+        return self._process.pid
+
+    def start(self) -> None:
+        """Start it, or start it again after its end."""
+        private = self.directory / f"{self.name}.tmp"
+        private.mkdir(exist_ok=True)
+        env = {"PATH": os.environ.get("PATH", ""), "EDGE_CONFIG": str(self._config), "TMPDIR": str(private)}
+        words = [sys.executable, "-m", "puffinford"]
+        if self._operators is not None:
+            words += ["serve", "--settings", str(self._operators)]
+        with open(self.log, "ab") as log:
+            self._process = subprocess.Popen(words, env=env, stderr=log, stdout=log, cwd=self._root)
+
+    def listening(self) -> bool:
+        """Whether it takes connections now."""
+        with socket.socket() as sock:
+            sock.settimeout(0.2)
+            return sock.connect_ex((HOST, self.port)) == 0
+
+    def signal(self, signum: int) -> None:
+        """Send the process a signal, where it runs."""
+        if self._process is not None and self.running:
+            self._process.send_signal(signum)
+
+    def stop(self) -> None:
+        """End it, at once if need be."""
+        if self._process is None:
+            return
+        self.signal(signal.SIGINT)
+        try:
+            self._process.wait(2.0)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+            self._process.wait()
+
+    def cpu(self) -> float:
+        """Seconds of CPU that the process has taken, by the kernel's count."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def resident(self) -> int:
+        """Bytes of memory that the process holds."""
+        return int(Path(f"/proc/{self.pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+    def wait_until_listening(self, most: float = 10.0) -> float:
+        """Seconds until it took connections; raises TimeoutError."""
+        began = time.monotonic()
+        while not self.listening():
+            if time.monotonic() - began > most or not self.running:
+                raise TimeoutError(f"{self.name} does not listen; see {self.log}")
+            time.sleep(0.005)
+        return time.monotonic() - began
--- /dev/null
+++ b/puffinford/standins/checks.py
@@ -0,0 +1,112 @@
+"""Checkers of the rules: each reads a trace and names every breach. An empty list is a kept rule."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from puffinford.standins.trace import ANSWERS, Trace, What
+
+CROSSING = 50.0  # ms: the end of one connection and the opening of another may be seen in either order
+
+
+def one_final_answer(trace: Trace, until: float = float("inf")) -> list[str]:
+    """Each opening has one answer, and one alone; openings of the last moments, after `until` ms, may have
+    none.
+    """
+    answers: dict[str, list[str]] = defaultdict(list)
+    asked = {}
+    for entry in trace.of(What.ASKED, *ANSWERS):
+        if entry.what is What.ASKED:
+            asked[entry.job] = entry.at
+        else:
+            answers[entry.job].append(entry.what.value)
+    wrong = [f"{job}: {' and '.join(many)}" for job, many in answers.items() if len(many) > 1]
+    return wrong + [f"{job}: no answer" for job, at in asked.items() if job not in answers and at < until]
+
+
+def nothing_lost(trace: Trace) -> list[str]:
+    """No opening ended without an answer."""
+    return [f"{entry.job}: {entry.detail or 'lost'}" for entry in trace.of(What.LOST)]
+
+
+def never_two_claims(trace: Trace, slack: float = CROSSING) -> list[str]:
+    """No two claims of one job are out for longer than `slack` ms together."""
+    out: dict[str, dict[str, float]] = defaultdict(dict)
+    wrong = []
+    for entry in trace.of(What.CLAIM, What.CLAIM_END):
+        claims = out[entry.job]
+        if entry.what is What.CLAIM:
+            claims[entry.detail] = entry.at
+            continue
+        began = claims.pop(entry.detail, entry.at)
+        wrong += [
+            f"{entry.job}: two claims for {entry.at - max(began, other):.0f} ms, one at {entry.server}"
+            for other in claims.values()
+            if entry.at - max(began, other) > slack
+        ]
+    return wrong
+
+
+def drains_kept(trace: Trace, grace: float = 3_000.0) -> list[str]:
+    """Nothing new comes to a server later than `grace` ms after discovery told that it drains or is gone."""
+    told: dict[str, float] = {}
+    wrong = []
+    for entry in trace.of(What.TOLD, What.CLAIM):
+        if entry.what is What.TOLD:
+            if entry.detail == "active":
+                told.pop(entry.server, None)
+            else:
+                told.setdefault(entry.server, entry.at)
+        elif entry.server in told and entry.at > told[entry.server] + grace:
+            late = entry.at - told[entry.server]
+            wrong.append(f"{entry.job}: to {entry.server} {late:.0f} ms after it was told")
+    return wrong
+
+
+def cold_not_flooded(
+    trace: Trace,
+    capacity: dict[str, float],
+    cold_from: float,
+    warm_ms: float,
+    multiple: float = 3.0,
+    window: float = 1_000.0,
+) -> list[str]:
+    """No window of `window` ms brings a cold server more openings than `multiple` times what it can take
+    then.
+
+    `capacity` is in openings a second of the warm server; a start is a STATE entry with detail `cold`. One
+    opening more than the budget is chance.
+    """
+    wrong = []
+    cold: dict[str, float] = {}
+    claims: dict[str, list[float]] = defaultdict(list)
+    for entry in trace.of(What.STATE, What.CLAIM):
+        if entry.what is What.STATE:
+            if entry.detail == "cold":
+                cold[entry.server] = entry.at
+                claims[entry.server].clear()
+            continue
+        since = cold.get(entry.server)
+        if since is None or entry.at > since + warm_ms or entry.server not in capacity:
+            continue
+        times = claims[entry.server]
+        times.append(entry.at)
+        while times[0] < entry.at - window:
+            times.pop(0)
+        share = cold_from + (1.0 - cold_from) * (entry.at - since) / warm_ms
+        budget = multiple * share * capacity[entry.server] * window / 1_000.0
+        if len(times) > budget + 1.0:
+            wrong.append(f"{entry.server}: {len(times)} openings in {window:.0f} ms, budget {budget:.1f}")
+    return wrong
+
+
+def moves_said(trace: Trace) -> list[str]:
+    """No standing connection was cut while its server was sound."""
+    sound: dict[str, str] = {}
+    wrong = []
+    for entry in trace.of(What.STATE, What.CUT):
+        if entry.what is What.STATE:
+            sound[entry.server] = entry.detail
+        elif sound.get(entry.server, "sound") in ("sound", "cold"):
+            wrong.append(f"{entry.job}: cut without MOVE, {entry.server} was sound")
+    return wrong
--- /dev/null
+++ b/puffinford/standins/clients.py
@@ -0,0 +1,161 @@
+"""Clients: they open, send lines, break off, are sent away, and come back."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+from anyio.abc import SocketStream
+
+from puffinford.core.clock import Clock
+from puffinford.standins.listeners import HOST, Lines, reset
+from puffinford.standins.trace import Trace, What
+
+
+@dataclass(frozen=True)
+class Kind:
+    """A class of clients. Times in ms."""
+
+    name: str
+    share: float = 1.0
+    give_up: float = 2_000.0  # it waits so long for UP
+    aim: float = 500.0  # and wants it within this
+    life: float = 20_000.0  # it stays so long, on average
+    every: float = 2_000.0  # between its lines
+    worth: float = 1.0
+    groups: int = 50
+
+
+class Clients:
+    """A population that arrives at `rate` a second, whatever becomes of those before (open loop)."""
+
+    def __init__(
+        self,
+        kinds: Sequence[Kind],
+        rate: float,
+        front: Callable[[], int | None],
+        clock: Clock,
+        trace: Trace,
+        rng: random.Random,
+        tasks: anyio.abc.TaskGroup,
+        retries: int = 2,
+        rejoin: tuple[float, float] = (140.0, 1_100.0),
+    ) -> None:
+        """`front` gives the port of the next client's balancer, or None where there is none."""
+        self._kinds = list(kinds)
+        self._rate = rate
+        self._front = front
+        self._clock = clock
+        self._trace = trace
+        self._rng = rng
+        self._tasks = tasks
+        self._retries = retries
+        self._rejoin = rejoin
+        self._made = 0
+        self._seed = rng.getrandbits(32)
+        self.standing = 0
+
+    async def run(self, for_ms: float) -> None:
+        """Arrivals for so long; what has arrived goes on in the task group."""
+        due = self._clock.now()
+        end = due + for_ms
+        while True:
+            due += self._rng.expovariate(self._rate) * 1_000.0
+            if due >= end:
+                return
+            await self._clock.sleep(due - self._clock.now())
+            self.arrive()
+
+    def arrive(self, kind: Kind | None = None) -> None:
+        """One client comes now."""
+        kind = kind or self._rng.choices(self._kinds, [k.share for k in self._kinds])[0]
+        life = self._rng.expovariate(1.0 / kind.life)
+        group = f"{self._rng.randrange(kind.groups):x}"
+        self._tasks.start_soon(self._live, kind, life, group)
+
+    async def _live(self, kind: Kind, life: float, group: str) -> None:
+        """One client from its first try until it is done or has given up."""
+        end = self._clock.now() + life
+        tries, again = 0, ""
+        while (left := end - self._clock.now()) > 0 and tries <= self._retries:
+            ended, wait = await self._try(kind, left, group, again)
+            if ended == "done":
+                return
+            if ended == "back":
+                tries, again = 0, ",again=1"
+                await self._clock.sleep(self._rng.uniform(*self._rejoin))
+            else:
+                tries += 1
+                await self._clock.sleep(max(wait, self._rng.uniform(20.0, 190.0)))
+
+    async def _try(self, kind: Kind, life: float, group: str, again: str) -> tuple[str, float]:
+        """One connection: `done`, `back` where it stood and ended, `no` with the ms to stay away."""
+        self._made += 1
+        job = f"{self._seed:08x}{self._made:08x}"
+        port = self._front()
+        began = self._clock.now()
+        self._trace.add(What.ASKED, job=job, cls=kind.name)
+        stream: SocketStream | None = None
+        answer = b""
+        try:
+            with self._clock.limit(kind.give_up):
+                if port is not None:
+                    stream = await anyio.connect_tcp(HOST, port)
+                    lines = Lines(stream)
+                    figures = f"c={kind.name},t=m{int(group, 16) % 6},d={kind.give_up:.0f},g={group}{again}"
+                    await lines.say(f"OPEN {job} {group} {figures}".encode())
+                    answer = await lines.next()
+        except OSError:
+            answer = b"REFUSED"
+        ms = self._clock.now() - began
+        try:
+            if stream is None or not answer.startswith(b"UP "):
+                return self._turned_away(job, kind, answer, ms)
+            server = answer.decode().removeprefix("UP r-").rpartition("-")[0]
+            self._trace.add(What.UP, job=job, cls=kind.name, server=server, ms=ms)
+            return await self._stay(Lines(stream), kind, job, server, life), 0.0
+        finally:
+            if stream is not None:
+                await anyio.aclose_forcefully(stream)
+
+    def _turned_away(self, job: str, kind: Kind, answer: bytes, ms: float) -> tuple[str, float]:
+        word, _, rest = answer.partition(b" ")
+        if word == b"BUSY":
+            self._trace.add(What.BUSY, job=job, cls=kind.name, ms=ms)
+            return "no", float(rest or b"0")
+        if word == b"ERR":
+            self._trace.add(What.FAILED, job=job, cls=kind.name, ms=ms)
+        else:
+            self._trace.add(What.LOST, job=job, cls=kind.name, ms=ms, detail=answer.decode("latin-1"))
+        return "no", 0.0
+
+    async def _stay(self, lines: Lines, kind: Kind, job: str, server: str, life: float) -> str:
+        """A connection that stands: a line each `every` ms, until its life is over or it ends."""
+        ended: list[bytes] = []
+        self.standing += 1
+        try:
+            async with anyio.create_task_group() as tasks:
+
+                async def hear() -> None:
+                    while (line := await lines.next()) not in (Lines.FIN, Lines.RST, b"MOVE"):
+                        pass
+                    ended.append(line)
+                    tasks.cancel_scope.cancel()
+
+                tasks.start_soon(hear)
+                with self._clock.limit(life):
+                    while True:
+                        await self._clock.sleep(kind.every * self._rng.uniform(0.8, 1.2))
+                        if not await lines.say(b"line of " + job.encode()):
+                            await anyio.sleep_forever()
+                tasks.cancel_scope.cancel()
+        finally:
+            self.standing -= 1
+        what = What.DONE if not ended else What.MOVED if ended[0] == b"MOVE" else What.CUT
+        self._trace.add(what, job=job, cls=kind.name, server=server)
+        if what is What.DONE and self._rng.random() < 0.1:
+            await reset(lines.stream)  # some clients break off
+        return "done" if what is What.DONE else "back"
--- /dev/null
+++ b/puffinford/standins/discovery.py
@@ -0,0 +1,137 @@
+"""Discovery: the list and the watch over HTTP/1.1, with the ways in which it lets its callers down."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import anyio.abc
+from anyio.abc import SocketStream
+
+from puffinford.core.clock import Clock
+from puffinford.standins.listeners import HOST, Port, reset
+from puffinford.standins.trace import Trace, What
+
+MODES = ("sound", "absent", "hung", "late", "unavailable", "garbage", "reset", "older")
+LATE = 3_000.0  # ms that a late answer takes
+_CALL = re.compile(rb"GET /v1/servers(?:\?index=(-?\d+)&wait=(\d+))? HTTP/1\.1\r\n")
+_GARBAGE = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnot a list"[:-1],
+    b"\x00\xff\x17 nothing\r\n\r\n",
+    b'HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{"version":"x","full":1,"servers":{"a":1}}'[:80],
+    b'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{"version":1e9',
+)
+
+
+@dataclass
+class Registry:
+    """The entries with the version that last changed each. `left` ones stay for the watches."""
+
+    version: int = 0
+    entries: dict[str, dict[str, Any]] = field(default_factory=dict)
+    changed: dict[str, int] = field(default_factory=dict)
+
+    def put(self, ident: str, **more: object) -> None:
+        """Add an entry or change it."""
+        self.version += 1
+        base: dict[str, Any] = {"id": ident, "state": "active", "weight": 1.0, "started_ms": 0}
+        self.entries[ident] = {**self.entries.get(ident, base), **more}
+        self.changed[ident] = self.version
+
+    def answer(self, index: int | None) -> dict[str, Any]:
+        """The whole list, or what changed after version `index`."""
+        whole = index is None or index > self.version
+        chosen = [
+            entry
+            for ident, entry in self.entries.items()
+            if (whole and entry["state"] != "left") or (not whole and self.changed[ident] > (index or 0))
+        ]
+        return {"version": self.version, "full": whole, "servers": chosen}
+
+
+class Discovery:
+    """The service. `registry` is changed through `put`, and told after `lag` ms; `mode` is one of MODES."""
+
+    def __init__(self, clock: Clock, trace: Trace, tasks: anyio.abc.TaskGroup, lag: float = 0.0) -> None:
+        self.registry = Registry()
+        self.lag = lag
+        self.mode = "absent"
+        self.calls = 0
+        self._clock = clock
+        self._trace = trace
+        self._tasks = tasks
+        self._news = anyio.Event()
+        self._one = anyio.Lock()  # it answers one call at a time
+        self._port = Port(self._play, tasks)
+
+    @property
+    def address(self) -> str:
+        """HOST:PORT, the same for as long as it is there."""
+        return f"{HOST}:{self._port.number}"
+
+    def become(self, mode: str) -> None:
+        """Change how calls are answered. Watches end when it goes down."""
+        if mode not in MODES:
+            raise ValueError(f"{mode!r} is none of {' '.join(MODES)}")
+        was, self.mode = self.mode, mode
+        if mode == "absent":
+            self._port.close()
+            self._tasks.start_soon(self._port.break_all)
+        elif was == "absent":
+            self._port.open()
+        self._tell()
+
+    def put(self, ident: str, **more: object) -> None:
+        """Change an entry; it is told after the lag."""
+        self._tasks.start_soon(self._later, lambda: self.registry.put(ident, **more))
+
+    async def _later(self, change: Callable[[], None]) -> None:
+        if self.lag:
+            await self._clock.sleep(self.lag)
+        change()
+        self._tell()
+
+    def _tell(self) -> None:
+        self._news.set()
+        self._news = anyio.Event()
+
+    async def _play(self, stream: SocketStream) -> None:
+        head = b""
+        while b"\r\n\r\n" not in head:
+            head += await stream.receive()
+        self.calls += 1
+        found = _CALL.match(head)
+        index = int(found[1]) if found and found[1] else None
+        wait = float(found[2]) if found and found[2] else 0.0
+        if self.mode in ("sound", "late") and index is not None:
+            with self._clock.limit(wait):
+                while self.registry.version <= index and self.mode == "sound":
+                    await self._news.wait()
+        async with self._one:
+            await self._answer(stream, index)
+
+    async def _answer(self, stream: SocketStream, index: int | None) -> None:
+        match self.mode:
+            case "hung":
+                while self.mode == "hung":
+                    await self._news.wait()
+                return
+            case "late":
+                await self._clock.sleep(LATE)
+            case "unavailable":
+                return await stream.send(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+            case "garbage":
+                return await stream.send(_GARBAGE[self.calls % len(_GARBAGE)])
+            case "reset" | "absent":
+                return await reset(stream)
+        told = self.registry.answer(index)
+        if self.mode == "older":
+            told = {**self.registry.answer(None), "version": 1}
+        body = json.dumps(told).encode()
+        await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        for entry in told["servers"]:
+            self._trace.add(What.TOLD, server=entry["id"], detail=entry["state"])
--- /dev/null
+++ b/puffinford/standins/servers.py
@@ -0,0 +1,165 @@
+"""A line server with the faults that servers have."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+from anyio.abc import SocketStream
+
+from puffinford.core.clock import Clock
+from puffinford.standins.listeners import HOST, Lines, Port, reset
+from puffinford.standins.trace import Trace, What
+
+NOTE_EVERY = 1_000.0  # ms between notes of slow messages
+STATES = ("sound", "refusing", "unreachable", "silent", "resetting", "busy", "failing", "draining", "slow")
+
+
+@dataclass(frozen=True)
+class Make:
+    """What a server can do. Times in ms."""
+
+    set_up: float = 5.0  # from an opening to its UP
+    message: float = 1.0  # from a line to its answer, with little on it
+    capacity: int = 500  # connections that it holds; the next is told BUSY
+    crowded: float = 0.5  # part of the capacity from which messages take longer
+    slow_by: float = 20.0  # times as long while it is slow
+    cold_from: float = 0.15  # part of the capacity that a start begins with
+    warm_ms: float = 0.0  # and is warm after; 0 where starts are warm
+    zone: str = ""
+    kind: str = ""
+
+
+class LineServer:
+    """A stand-in server. It starts stopped; `become` one of STATES, or `start` it cold."""
+
+    def __init__(
+        self,
+        ident: str,
+        make: Make,
+        clock: Clock,
+        trace: Trace,
+        rng: random.Random,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        self.id = ident
+        self.make = make
+        self.state = "refusing"
+        self.started: float = 0.0  # on the clock; 0: long ago
+        self.standing = 0
+        self._clock = clock
+        self._trace = trace
+        self._rng = rng
+        self._tasks = tasks
+        self._claims = 0
+        self._port = Port(self._play, tasks)
+        self._changed = anyio.Event()
+
+    @property
+    def address(self) -> str:
+        """HOST:PORT, the same for as long as it is there."""
+        return f"{HOST}:{self._port.number}"
+
+    def become(self, state: str) -> None:
+        """Change what it does, for those that stand there too."""
+        if state not in STATES:
+            raise ValueError(f"{state!r} is none of {' '.join(STATES)}")
+        was, self.state = self.state, state
+        if state == "refusing":
+            self._port.close()
+        elif state == "unreachable":
+            self._port.vanish()
+        elif was in ("refusing", "unreachable"):
+            self._port.open()
+        self._trace.add(What.STATE, server=self.id, detail=state)
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def start(self, *, cold: bool = False) -> None:
+        """Start, or start again."""
+        self.started = self._clock.now() if cold else 0.0
+        self.become("sound")
+        if cold:
+            self._trace.add(What.STATE, server=self.id, detail="cold")
+
+    async def crash(self) -> None:
+        """Die: what stands is reset, and new connections are refused."""
+        self.become("refusing")
+        await self._port.break_all()
+
+    def ability(self) -> float:
+        """The part of its capacity that it has now."""
+        if not self.started or not self.make.warm_ms:
+            return 1.0
+        age = (self._clock.now() - self.started) / self.make.warm_ms
+        return min(1.0, self.make.cold_from + (1.0 - self.make.cold_from) * age)
+
+    def delay(self) -> float:
+        """How long a message takes now, in ms: longer the more it holds past `crowded`."""
+        room = max(1.0, self.make.capacity * self.ability())
+        over = max(0.0, self.standing / room - self.make.crowded)
+        return self.make.message * (1.0 + 10.0 * over) * (self.make.slow_by if self.state == "slow" else 1.0)
+
+    async def _play(self, stream: SocketStream) -> None:
+        lines = Lines(stream)
+        first = await lines.next()
+        words = first.decode("latin-1").split(" ")
+        if words[0] == "PING":
+            if self.state not in ("silent", "unreachable"):
+                await lines.say(b"PONG")
+            return
+        if words[0] != "OPEN" or len(words) != 4:
+            return
+        self._claims += 1
+        claim, job = f"{self.id}-{self._claims}", words[1]
+        self._trace.add(What.CLAIM, job=job, server=self.id, detail=claim)
+        try:
+            await self._open(stream, lines, claim)
+        finally:
+            self._trace.add(What.CLAIM_END, job=job, server=self.id, detail=claim)
+
+    async def _open(self, stream: SocketStream, lines: Lines, claim: str) -> None:
+        if self.state == "silent":
+            await lines.next()  # until the balancer gives it up
+            return
+        if self.state == "resetting":
+            return await reset(stream)
+        if self.state == "failing":
+            await lines.say(b"ERR")
+            return
+        if self.state in ("busy", "draining") or self.standing >= self.make.capacity * self.ability():
+            await lines.say(b"BUSY")
+            return
+        slow = self.make.slow_by if self.state == "slow" else 1.0
+        await self._clock.sleep(self.make.set_up * slow * self._rng.uniform(0.5, 1.5))
+        if not await lines.say(f"UP r-{claim}".encode()):
+            return
+        self.standing += 1
+        try:
+            await self._stand(stream, lines)
+        finally:
+            self.standing -= 1
+
+    async def _stand(self, stream: SocketStream, lines: Lines) -> None:
+        noted = 0.0
+        moving = False
+        while True:
+            line = await lines.next()
+            if line in (Lines.FIN, Lines.RST):
+                return
+            while self.state == "silent":
+                await self._changed.wait()
+            if self.state == "draining" and not moving:
+                moving = True
+                await lines.say(b"MOVE")
+                return
+            delay = self.delay()
+            await self._clock.sleep(delay)
+            now = self._clock.now()
+            if self.state == "slow" and now >= noted + NOTE_EVERY:
+                noted = now
+                await lines.say(f"LOAD {delay:.1f}".encode())
+            if not await lines.say(line):
+                return
--- /dev/null
+++ b/puffinford/standins/trace.py
@@ -0,0 +1,68 @@
+"""What stand-ins saw, in one order, for reports and for the checkers of the rules."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+
+class What(Enum):
+    """A thing seen. `job` and `server` of the entry say of whom."""
+
+    ASKED = "asked"  # a client has sent its opening
+    UP = "up"  # ... and stands
+    BUSY = "busy"  # ... or was turned away
+    FAILED = "failed"  # ... or got any other answer
+    LOST = "lost"  # ... or none: the connection ended first, or its time was up
+    MOVED = "moved"  # a standing client was sent away in order
+    CUT = "cut"  # ... or its connection ended without a word
+    DONE = "done"  # ... or it ended it itself
+    CLAIM = "claim"  # an opening has come to a server
+    CLAIM_END = "claim end"  # its connection has ended
+    TOLD = "told"  # discovery wrote an answer that says of a server: see `detail`
+    STATE = "state"  # a server has changed what it does: see `detail`
+
+
+ANSWERS = (What.UP, What.BUSY, What.FAILED, What.LOST)
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One thing at one time, in ms since the trace began."""
+
+    at: float
+    what: What
+    job: str = ""
+    server: str = ""
+    cls: str = ""
+    ms: float = 0.0  # how long it took, where that can be said
+    detail: str = ""
+
+
+class Trace:
+    """Entries in the order in which they were seen; `now` gives ms of any one clock."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._began = now()
+        self.entries: list[Entry] = []
+        self.began_serving = 0.0  # ms: when the first client could come
+
+    @property
+    def elapsed(self) -> float:
+        """Ms since the trace began."""
+        return self._now() - self._began
+
+    def add(self, what: What, **more: object) -> None:
+        """See a thing now."""
+        self.entries.append(Entry(self.elapsed, what, **more))  # type: ignore[arg-type]
+
+    def of(self, *whats: What) -> Iterator[Entry]:
+        """The entries of these kinds."""
+        return (entry for entry in self.entries if entry.what in whats)
+
+    def count(self, what: What, by: Callable[[Entry], str] = lambda entry: entry.cls) -> Counter[str]:
+        """How often a thing was seen, by class or by whatever `by` names."""
+        return Counter(by(entry) for entry in self.of(what))
--- /dev/null
+++ b/puffinford/state/keeper.py
@@ -0,0 +1,408 @@
+"""Keeps the store up to date and takes from it at the start: the thin shell round `trust` and `recovery`.
+
+It hears each list that is taken and asks the exchange what was learned; changes are gathered and written
+together, never faster than the settings say, but for bad news of servers, which are written at once.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+from anyio import to_thread
+
+from puffinford.core.clock import Clock
+from puffinford.core.places import state_path
+from puffinford.core.values import Machine, MachineList
+from puffinford.interface import Health, ServerState
+from puffinford.operators.schema import StateSettings
+from puffinford.state import recovery, trust
+from puffinford.state.records import (
+    LIST_KEY,
+    ListRecord,
+    ServerRecord,
+    Stored,
+    encode,
+    health_key,
+    server_key,
+)
+from puffinford.state.store import Renewal, Store, StoreFailed, StoreFull, open_store
+
+log = logging.getLogger(__name__)
+
+COMMIT_MOST = 1.0  # ms that a commit may hold the loop; a slower one sends the next to a thread
+CONFIRM_EVERY = 5_000.0  # the list's time is written no more often while nothing changes
+TELL_AGAIN = 60_000.0  # a store that stays full or broken is a line in the log this often
+FORGET_EVERY = 60_000.0  # between looks for servers that left long ago
+
+
+def store_file(settings: StateSettings, shared: str | None, balancer: str) -> tuple[Path, bool] | None:
+    """The store's file, and whether it is kept for good; None where there is to be none.
+
+    `shared` is the directory that the versions of a balancer share.
+    """
+    directory, durable = (settings.directory, True) if settings.directory else (shared, False)
+    if not directory or not (durable or settings.versions):
+        return None
+    path = state_path(directory, balancer)
+    return (path.with_name(path.name + ".state"), durable) if path is not None else None
+
+
+def weights(settings: StateSettings) -> trust.Weights:
+    """The operators' figures for trust."""
+    return trust.Weights(
+        settings.fresh, settings.distrust, settings.patience, settings.patience_old, settings.learned_for
+    )
+
+
+class Keeper:
+    """`learned` tells what the module knows of the servers, `learn` hands it what others knew."""
+
+    def __init__(
+        self,
+        settings: StateSettings,
+        place: tuple[Path, bool] | None,
+        clock: Clock,
+        learned: Callable[[], list[Health]],
+        learn: Callable[[list[Health]], None],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._learned = learned
+        self._learn = learn
+        self._store: Store | None = None
+        self._durable = place is not None and place[1]
+        if place is not None:
+            self._open(*place)
+        self._list: ListRecord | None = None
+        self._confirmed = 0.0  # Unix ms
+        self._written_at = 0.0  # Unix ms of the list's time as it was last written
+        self._servers: dict[str, ServerRecord] = {}  # as they are written, or will be
+        self._left: dict[str, float] = {}  # servers that left, and when, in Unix ms
+        self._health: dict[str, Health] = {}  # as it is written
+        self._due: dict[bytes, bytes | None] = {}
+        self._urgent = anyio.Event()
+        self._slow_commits = self._durable
+        self._told_at = float("-inf")
+        self._forget_at = 0.0
+        self._took_over = False
+
+    def _open(self, path: Path, durable: bool) -> None:
+        renewal: Renewal | None = None
+        try:
+            self._store, renewal = open_store(path, self._settings.size, durable=durable)
+        except StoreFailed as exc:
+            log.error("state unusable", extra={"file": str(path), "error": str(exc)})
+        if renewal is not None:
+            told = {"file": str(path), "verdict": renewal.verdict.name.lower(), "why": renewal.why}
+            log.warning("state renewed", extra={**told, "aside": renewal.aside} if renewal.aside else told)
+
+    @property
+    def _offset(self) -> float:
+        """Unix time less the host's, in ms. Not a constant: the system clock may be set."""
+        return time.time() * 1_000.0 - self._clock.now()
+
+    # The start
+
+    def start(self, known: MachineList | None) -> recovery.Start:
+        """What to go by until discovery speaks."""
+        stored: Stored | None = None
+        if self._store is not None:
+            try:
+                stored = self._store.read()
+            except StoreFailed as exc:
+                log.error("state unusable", extra={"file": str(self._store.path), "error": str(exc)})
+        if stored is not None:
+            for text in stored.rotten[:10]:
+                log.warning("state record rejected", extra={"error": text})
+            self._take_in(stored)
+        told = self._settings
+        begun = recovery.merge(stored, known, self._clock.now(), self._offset, weights(told), told.known_age)
+        restored = begun.restored
+        if begun.source == "nothing":
+            return begun
+        self._note_start(begun)
+        log.info(
+            "restored",
+            extra={
+                "source": begun.source,
+                "entries": len(restored.machines.machines),
+                "age_s": round(begun.age / 1_000.0, 1),
+                "at_once": restored.most or "any",
+                "patience_ms": round(restored.patience),
+                "learned": len(restored.health),
+            },
+        )
+        return begun
+
+    def _take_in(self, stored: Stored) -> None:
+        """What is in the store already needs no writing."""
+        if stored.entries >= 0:
+            self._list = ListRecord(stored.version, stored.entries)
+            self._confirmed = self._written_at = stored.confirmed
+        for ident, (record, confirmed) in stored.servers.items():
+            self._servers[ident] = record
+            if record.state == "left":
+                self._left[ident] = confirmed
+        for ident, (health, confirmed) in stored.health.items():
+            self._health[ident] = recovery.to_health(health, confirmed, self._offset)
+
+    def _note_start(self, begun: recovery.Start) -> None:
+        """Keep what the start goes by.
+
+        Guards the next start against half a list: discovery may answer this one with changes alone, and the
+        rest would be in no store.
+        """
+        offset = self._offset
+        confirmed = self._clock.now() + offset - begun.age
+        for machine in begun.restored.machines.machines:
+            ident = machine.server.id
+            held = self._servers.get(ident)
+            version = held.version if held is not None else begun.version or 0
+            record = recovery.to_record(machine, version, offset)
+            if held is None or not _same(record, held):
+                self._servers[ident] = record
+                self._left.pop(ident, None)
+                self._due[server_key(ident)] = encode(server_key(ident), record, confirmed)
+        named = {machine.server.id for machine in begun.restored.machines.machines}
+        for ident, record in list(self._servers.items()):
+            if ident not in named and record.state != "left":
+                self._note_left(ident, record, begun.version or 0, confirmed)
+        listed = sum(record.state != "left" for record in self._servers.values())
+        if begun.source == "known" or self._list is None:
+            self._list = ListRecord(begun.version or 0, listed)
+            self._confirmed = confirmed
+            self._due[LIST_KEY] = encode(LIST_KEY, self._list, confirmed)
+
+    def take_over(self) -> None:
+        """Learn what the process that writes, the old version, has learned by now."""
+        if self._store is None or self._store.writes:
+            return
+        try:
+            stored = self._store.read_health()
+        except StoreFailed as exc:
+            return self._tell_once(exc)
+        now, offset, figures = self._clock.now(), self._offset, weights(self._settings)
+        found = [
+            weighed
+            for record, confirmed in stored.health.values()
+            if (weighed := trust.weigh(recovery.to_health(record, confirmed, offset), now, figures))
+        ]
+        if found:
+            self._learn(found)
+        if not self._took_over:
+            self._took_over = True
+            log.info("took over", extra={"learned": ",".join(health.server for health in found) or "nothing"})
+
+    def let_go(self) -> None:
+        """Leave the store to the next version. What has changed is written first."""
+        if self._store is not None and self._store.writes:
+            self._gather_health()
+            self._commit_now()
+            self._store.let_go()
+
+    # What changes
+
+    def note_list(self, machines: MachineList) -> None:
+        """A list that the exchange took: it is confirmed as of now, and what it changes will be written."""
+        if self._store is None:
+            return
+        offset = self._offset
+        now = self._clock.now() + offset
+        self._confirmed = now
+        urgent = False
+        named = set()
+        for machine in machines.machines:
+            named.add(machine.server.id)
+            urgent |= self._note(machine, machines.version, offset, now)
+        if machines.full:
+            for ident, record in list(self._servers.items()):
+                if ident not in named and record.state != "left":
+                    urgent |= self._note_left(ident, record, machines.version, now)
+        listed = sum(record.state != "left" for record in self._servers.values())
+        whole = ListRecord(machines.version, listed)
+        if whole != self._list or now - self._written_at >= CONFIRM_EVERY:
+            self._list = whole
+            self._written_at = now
+            self._due[LIST_KEY] = encode(LIST_KEY, whole, now)
+        if urgent:
+            # Guards the rule on drains across a crash: the next start must know of it.
+            self._urgent.set()
+
+    def _note(self, machine: Machine, version: int, offset: float, now: float) -> bool:
+        """Take in an entry; tells whether it is bad news."""
+        ident, state = machine.server.id, machine.server.state
+        held = self._servers.get(ident)
+        if state is ServerState.GONE:
+            if held is not None and held.state == "left":
+                return False
+            return self._note_left(ident, held or recovery.to_record(machine, version, offset), version, now)
+        record = recovery.to_record(machine, held.version if held is not None else version, offset)
+        if held is not None and _same(record, held):
+            return False
+        record = recovery.to_record(machine, version, offset)
+        self._servers[ident] = record
+        self._left.pop(ident, None)
+        key = server_key(ident)
+        self._due[key] = encode(key, record, now)
+        return state is ServerState.DRAINING
+
+    def _note_left(self, ident: str, held: ServerRecord, version: int, now: float) -> bool:
+        """Keep a server that left as such, so that no older list brings it back."""
+        record = ServerRecord(
+            ident, held.host, held.port, held.front, "left", version, held.zone, held.kind, held.cell
+        )
+        self._servers[ident] = record
+        self._left[ident] = now
+        key = server_key(ident)
+        self._due[key] = encode(key, record, now)
+        if self._health.pop(ident, None) is not None:
+            self._due[health_key(ident)] = None
+        return True
+
+    def _gather_health(self) -> None:
+        """What the module has learned since the last write."""
+        offset = self._offset
+        now = self._clock.now() + offset
+        told = {health.server: health for health in self._learned() if health.server in self._servers}
+        for ident, health in told.items():
+            held = self._health.get(ident)
+            if held is None or not _alike(held, health) or health.told_at - held.told_at > CONFIRM_EVERY:
+                self._health[ident] = health
+                key = health_key(ident)
+                self._due[key] = encode(key, recovery.to_health_record(health, offset), now)
+        for ident in self._health.keys() - told.keys():
+            del self._health[ident]
+            self._due[health_key(ident)] = None
+
+    def _forget(self) -> None:
+        """Retention: servers that left long ago."""
+        now = self._clock.now() + self._offset
+        if now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_EVERY
+        for ident, at in list(self._left.items()):
+            if now - at > self._settings.forget_after:
+                self._drop_left(ident)
+
+    def _drop_left(self, ident: str) -> None:
+        self._left.pop(ident, None)
+        self._servers.pop(ident, None)
+        self._due[server_key(ident)] = None
+
+    # Writing
+
+    async def run(self) -> None:
+        """Write what changes, until cancelled; the last of it is written then."""
+        if self._store is None:
+            return
+        try:
+            while True:
+                with self._clock.limit(self._settings.write_every):
+                    await self._urgent.wait()
+                self._urgent = anyio.Event()
+                if self._claim(self._store):
+                    self._gather_health()
+                    self._forget()
+                    await self._commit()
+                elif self._took_over:
+                    self.take_over()
+        finally:
+            self._commit_now()
+            self._store.close()
+            self._store = None
+
+    def _claim(self, store: Store) -> bool:
+        """Whether this process writes; when it has just come to, the store is made to say what it holds."""
+        if store.writes:
+            return True
+        try:
+            if not store.claim():
+                return False
+            stored = store.read()
+        except StoreFailed as exc:
+            self._tell_once(exc)
+            return False
+        now = self._clock.now() + self._offset
+        self._health.clear()
+        for ident, (health, confirmed) in stored.health.items():
+            self._health[ident] = recovery.to_health(health, confirmed, self._offset)
+        for ident, (record, confirmed) in stored.servers.items():
+            if ident not in self._servers and record.state == "left":
+                self._servers[ident] = record
+                self._left[ident] = confirmed
+            elif ident not in self._servers:
+                self._due[server_key(ident)] = None
+        for ident, record in self._servers.items():
+            held = stored.servers.get(ident)
+            if held is None or not _same(held[0], record):
+                self._due[server_key(ident)] = encode(server_key(ident), record, now)
+        if self._list is not None:
+            self._due[LIST_KEY] = encode(LIST_KEY, self._list, self._confirmed)
+        log.info("state writer", extra={"file": str(store.path)})
+        return True
+
+    async def _commit(self) -> None:
+        store, due = self._store, self._due
+        if store is None or not due:
+            return
+        self._due = {}
+        try:
+            if self._slow_commits:
+                took = await to_thread.run_sync(store.write, due)
+            else:
+                took = store.write(due)
+                self._slow_commits = took > COMMIT_MOST
+        except StoreFailed as exc:
+            self._failed(due, exc)
+        except BaseException:
+            # Guards what was to be written against the end of the program before the thread had begun.
+            self._due = {**due, **self._due}
+            raise
+
+    def _commit_now(self) -> None:
+        due, self._due = self._due, {}
+        if self._store is None or not due or not self._store.writes:
+            return
+        try:
+            self._store.write(due)
+        except StoreFailed as exc:
+            self._failed(due, exc)
+
+    def _failed(self, due: dict[bytes, bytes | None], exc: StoreFailed) -> None:
+        """Nothing was written: it is due again, less the least needed where there is no room."""
+        self._due = {**due, **self._due}
+        if isinstance(exc, StoreFull):
+            for ident in sorted(self._left, key=self._left.__getitem__)[: 1 + len(self._left) // 2]:
+                self._drop_left(ident)
+        self._tell_once(exc)
+
+    def _tell_once(self, exc: StoreFailed) -> None:
+        now = self._clock.now()
+        if now - self._told_at >= TELL_AGAIN:
+            self._told_at = now
+            log.error("state not kept", extra={"error": str(exc)})
+
+
+def _same(one: ServerRecord, other: ServerRecord) -> bool:
+    """Alike but for a start that went through two clocks."""
+    if abs(one.started - other.started) > 1_000.0:
+        return False
+    return all(
+        getattr(one, name) == getattr(other, name)
+        for name in ("host", "port", "front", "state", "zone", "kind", "cell", "weight")
+    )
+
+
+def _alike(one: Health, other: Health) -> bool:
+    """Whether there is no news in the second: times that only moved on with the clock do not count."""
+    return (
+        one.failures == other.failures
+        and abs(one.retry_at - other.retry_at) < 1.0
+        and one.slow_until == other.slow_until
+        and one.room == other.room
+        and one.cold_from == other.cold_from
+    )
--- /dev/null
+++ b/puffinford/state/recovery.py
@@ -0,0 +1,254 @@
+"""What a start goes by, and which word of discovery to take. No I/O, no clock; times are ms.
+
+`merge` makes one list of the store and the configuration's `known`, entry by entry. `ListGuard` looks at each
+answer of discovery before it goes on.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from puffinford.core.values import Machine, MachineList, Restored
+from puffinford.interface import Health, Server, ServerState
+from puffinford.machines.entries import FRONTS, STATES
+from puffinford.state import trust
+from puffinford.state.records import HealthRecord, ServerRecord, Stored
+
+_WORDS = {state: word for word, state in STATES.items()}
+_WORSE = {ServerState.LIVE: 0, ServerState.DRAINING: 1, ServerState.GONE: 2}
+
+
+def to_record(machine: Machine, version: int, offset: float) -> ServerRecord:
+    """A machine as it is kept; `offset` is Unix time less the host's, in ms."""
+    server = machine.server
+    started = max(0.0, server.started + offset) if server.started else 0.0
+    return ServerRecord(
+        server.id,
+        machine.host,
+        machine.port,
+        machine.front,
+        _WORDS[server.state],
+        version,
+        server.zone,
+        server.kind,
+        server.cell,
+        server.weight,
+        started,
+    )
+
+
+def to_machine(record: ServerRecord, offset: float) -> Machine | None:
+    """A kept machine; None where the record names a state or front that nobody knows."""
+    state = STATES.get(record.state)
+    if state is None or record.front not in FRONTS:
+        return None
+    started = record.started - offset if record.started else 0.0
+    server = Server(record.id, record.zone, record.kind, record.cell, state, record.weight, started)
+    return Machine(server, record.host, record.port, record.front)
+
+
+def to_health_record(health: Health, offset: float) -> HealthRecord:
+    """What was learned of a server as it is kept."""
+
+    def unix(at: float | None) -> float:
+        return max(0.0, at + offset) if at else 0.0
+
+    return HealthRecord(
+        health.server,
+        health.failures,
+        unix(health.retry_at),
+        unix(health.away_at),
+        unix(health.slow_until),
+        unix(health.late_at),
+        health.delay,
+        -1.0 if health.room is None else health.room,
+        unix(health.room_at),
+        unix(health.cold_from),
+    )
+
+
+def to_health(record: HealthRecord, confirmed: float, offset: float) -> Health:
+    """What was learned of a server, on the host's time."""
+
+    def here(at: float) -> float:
+        return at - offset if at else 0.0
+
+    return Health(
+        record.id,
+        confirmed - offset,
+        record.failures,
+        here(record.retry_at),
+        here(record.away_at) or None,
+        here(record.slow_until),
+        here(record.late_at),
+        record.delay,
+        record.room if record.room >= 0 else None,
+        here(record.room_at),
+        here(record.cold_from) or None,
+    )
+
+
+@dataclass(frozen=True)
+class Start:
+    """What a start goes by. `version` is what the first call of discovery continues from; None: it asks for
+    all.
+    """
+
+    restored: Restored
+    version: int | None
+    source: str  # for the log: store, known or nothing
+    age: float  # of what was used, in ms
+
+
+def merge(
+    stored: Stored | None,
+    known: MachineList | None,
+    now: float,
+    offset: float,
+    weights: trust.Weights,
+    known_age: float,
+) -> Start:
+    """One list of both, the newer side entry by entry; `now` and `known_age` in ms of the host's time."""
+    kept = _kept(stored, offset)
+    told = {machine.server.id: machine for machine in known.machines} if known is not None else {}
+    stored_age = trust.age(stored.confirmed - offset, now) if stored is not None else 0.0
+    known_newer = known is not None and _newer(known.version, known_age, stored, stored_age)
+    # Guards against what is gone coming back to life: the newer side would name it, had it stayed.
+    newer, older = (told, kept) if known_newer else (kept, told)
+    used: dict[str, Machine] = {}
+    for ident, machine in newer.items():
+        other = older.get(ident)
+        used[ident] = _with_start(machine, other) if other is not None else machine
+    machines = [machine for machine in used.values() if machine.server.state is not ServerState.GONE]
+    live = frozenset(m.server.id for m in machines if m.server.state is ServerState.LIVE)
+    version: int | None = None
+    if known is not None and known_newer:
+        version = known.version
+    elif stored is not None and stored.whole:
+        # An answer with the changes alone would never name an entry that the store has lost.
+        version = stored.version
+    old = known_age if known_newer else stored_age
+    terms = trust.terms(old, len(live), weights)
+    health = [] if stored is None else _health(stored, now, offset, weights)
+    restored = Restored(MachineList(version or 0, True, machines), live, terms.most, terms.patience, health)
+    source = "nothing" if not used else "known" if known_newer else "store"
+    return Start(restored, version, source, old)
+
+
+def _kept(stored: Stored | None, offset: float) -> dict[str, Machine]:
+    if stored is None:
+        return {}
+    made = {record.id: to_machine(record, offset) for record, _ in stored.servers.values()}
+    return {ident: machine for ident, machine in made.items() if machine is not None}
+
+
+def _newer(version: int, known_age: float, stored: Stored | None, stored_age: float) -> bool:
+    """Whether `known` is newer than the store. Where both tell their version, ages do not matter."""
+    if stored is None or not stored.servers:
+        return True
+    if version and stored.version:
+        return version > stored.version
+    return known_age < stored_age
+
+
+def _with_start(machine: Machine, other: Machine) -> Machine:
+    """A server's latest start, whichever side names it: one that is cold is cold whoever told."""
+    if other.server.started <= machine.server.started:
+        return machine
+    return replace(machine, server=replace(machine.server, started=other.server.started))
+
+
+def _health(stored: Stored, now: float, offset: float, weights: trust.Weights) -> list[Health]:
+    """What was learned and still counts."""
+    weighed = (
+        trust.weigh(to_health(record, confirmed, offset), now, weights)
+        for record, confirmed in stored.health.values()
+    )
+    return [health for health in weighed if health is not None]
+
+
+@dataclass(frozen=True)
+class Taken:
+    """What to pass on of an answer (None: nothing), and what the next call continues from (None: ask for
+    all).
+    """
+
+    machines: MachineList | None
+    version: int | None
+    note: str = ""  # why it was not taken as it is
+
+
+class ListGuard:
+    """Holds the list in force, and judges each answer by it.
+
+    The rules count news as told once they are written to us, so leaving, left and absent servers are taken
+    from any answer. What an answer below the version in force says to use has to be said twice.
+    """
+
+    def __init__(self, version: int | None = None, machines: list[Machine] | None = None) -> None:
+        self._version = version
+        self._held = {machine.server.id: machine for machine in machines or []}
+        self._doubted = False  # the last answer was an older one, and we have asked for all
+
+    @property
+    def version(self) -> int | None:
+        """The version in force, which a call after a failed one goes on from; None while one is doubted."""
+        return None if self._doubted else self._version
+
+    def moved(self) -> None:
+        """Discovery answers at another address: its versions need not go on from those held."""
+        self._version = None
+        self._doubted = False
+
+    def judge(self, answer: MachineList) -> Taken:
+        """What to take of an answer."""
+        machines = _each_once(answer.machines)
+        older = self._version is not None and answer.version < self._version
+        if not older or (answer.full and self._doubted):
+            if not answer.full and self._version is None:
+                # Guards against changes against a list that we never had.
+                return self._bad_news(machines, None, "changes without a list")
+            self._doubted = False
+            self._hold(answer, machines)
+            return Taken(MachineList(answer.version, answer.full, machines), answer.version)
+        note = f"version {answer.version} after {self._version}"
+        self._doubted = True
+        if answer.full:
+            machines = machines + self._absent(machines)
+        return self._bad_news(machines, None, note)
+
+    def _bad_news(self, machines: list[Machine], version: int | None, note: str) -> Taken:
+        bad = [m for m in machines if m.server.state is not ServerState.LIVE and m.server.id in self._held]
+        for machine in bad:
+            self._held[machine.server.id] = machine
+        passed = MachineList(self._version or 0, False, bad) if bad else None
+        return Taken(passed, version, note)
+
+    def _absent(self, machines: list[Machine]) -> list[Machine]:
+        """The held servers that a whole answer does not name, as gone."""
+        named = {machine.server.id for machine in machines}
+        return [
+            replace(held, server=replace(held.server, state=ServerState.GONE))
+            for ident, held in self._held.items()
+            if ident not in named
+        ]
+
+    def _hold(self, answer: MachineList, machines: list[Machine]) -> None:
+        self._version = answer.version
+        if answer.full:
+            self._held.clear()
+        for machine in machines:
+            if machine.server.state is ServerState.GONE:
+                self._held.pop(machine.server.id, None)
+            else:
+                self._held[machine.server.id] = machine
+
+
+def _each_once(machines: list[Machine]) -> list[Machine]:
+    """Of a server named twice the worse state counts: an answer at odds with itself is told either way."""
+    seen: dict[str, Machine] = {}
+    for machine in machines:
+        other = seen.get(machine.server.id)
+        if other is None or _WORSE[machine.server.state] >= _WORSE[other.server.state]:
+            seen[machine.server.id] = machine
+    return machines if len(seen) == len(machines) else list(seen.values())
--- a/tests/test_cordons.py
+++ b/tests/test_cordons.py
@@ -7,8 +7,8 @@
 import anyio
 import pytest
 
+from puffinford.core.places import state_path
 from puffinford.management.cordons import Cordons
-from puffinford.management.versions import state_path
 from tests.stage import Peer, answering, call, echo, opening, stage
 
 pytestmark = pytest.mark.anyio
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -325,14 +325,14 @@
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" if body is not None else b"%d"
         await stream.send(head % len(answer) + answer)
 
-    def take(machines: MachineList | None) -> None:
+    def take(machines: MachineList | None) -> int | None:
         lists.append(machines)
         heard.set()
+        return machines.version if machines else None
 
     async with stage() as here:
         port = await here.listen(handle)
-        known = MachineList(0, True, [Machine(Server("s-0"), "127.0.0.1", 9)])
-        watch = DiscoveryWatch(("127.0.0.1", port), known, SettableClock(), take)
+        watch = DiscoveryWatch(("127.0.0.1", port), 0, SettableClock(), take)
         here.tasks.start_soon(watch.run)
         await anyio.wait_all_tasks_blocked()
         watch.subscribe(True)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -21,12 +21,12 @@
 
 @pytest.mark.anyio
 async def test_the_program_serves_both_fronts_and_moves_its_clients_at_sigterm(tmp_path: Path) -> None:
-    (tmp_path / "channels.toml").write_text('enabled = true\nlisten = "127.0.0.1:0"\n')
+    (tmp_path / "puffinford.conf").write_text("section channels\n enabled on\n listen 127.0.0.1:0\n")
     (tmp_path / "config.json").write_text(
         json.dumps({"name": "n1", "listen": "127.0.0.1:0", "seed": "0a", "settings": FACTS})
     )
     words = ["serve", "--inventory", str(tmp_path / "machines.csv")]
-    words += ["--channels", str(tmp_path / "channels.toml")]
+    words += ["--settings", str(tmp_path / "puffinford.conf")]
     async with stage() as here:
         port = await here.listen(lambda stream: answering(b"UP r1", stay=True)(Peer(stream)))
         (tmp_path / "machines.csv").write_text(f"id,addr\ns-1,127.0.0.1:{port}\n")
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,139 @@
+"""The checkers find what they are for, scripts are checked, and a play of seconds keeps the rules."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from puffinford.standins import checks
+from puffinford.standins.demo import SCRIPT
+from puffinford.standins.discovery import Registry
+from puffinford.standins.play import BadScript, Play, read_script, report, rules
+from puffinford.standins.trace import Trace, What
+
+
+def traced(*entries: tuple[float, What, dict[str, Any]]) -> Trace:
+    times = iter([0.0, *(at for at, _, _ in entries)])
+    trace = Trace(lambda: next(times))
+    for _, what, more in entries:
+        trace.add(what, **more)
+    return trace
+
+
+def claim(
+    at: float, job: str, server: str, end: float | None = None
+) -> list[tuple[float, What, dict[str, Any]]]:
+    who = {"job": job, "server": server, "detail": f"{job}-{server}"}
+    made = [(at, What.CLAIM, who)]
+    return made if end is None else [*made, (end, What.CLAIM_END, who)]
+
+
+ASKED, UP, BUSY = ((what, {"job": "j"}) for what in (What.ASKED, What.UP, What.BUSY))
+
+
+@pytest.mark.parametrize(
+    ("check", "entries", "broken"),
+    [
+        (checks.one_final_answer, [(0, *ASKED), (1, *UP)], 0),
+        (checks.one_final_answer, [(0, *ASKED), (1, *UP), (2, *BUSY)], 1),
+        (checks.one_final_answer, [(0, *ASKED)], 1),
+        (checks.nothing_lost, [(0, What.LOST, {"job": "j"})], 1),
+        (checks.never_two_claims, [*claim(0, "j", "a", 10), *claim(10, "j", "b", 500)], 0),
+        (
+            checks.never_two_claims,
+            sorted([*claim(0, "j", "a", 300), *claim(100, "j", "b", 500)], key=lambda e: e[0]),
+            1,
+        ),
+        (
+            checks.drains_kept,
+            [(0, What.TOLD, {"server": "a", "detail": "leaving"}), *claim(2_900, "j", "a")],
+            0,
+        ),
+        (
+            checks.drains_kept,
+            [(0, What.TOLD, {"server": "a", "detail": "leaving"}), *claim(3_100, "j", "a")],
+            1,
+        ),
+        (
+            checks.drains_kept,
+            [
+                (0, What.TOLD, {"server": "a", "detail": "left"}),
+                (1, What.TOLD, {"server": "a", "detail": "active"}),
+                *claim(3_100, "j", "a"),
+            ],
+            0,
+        ),
+        (checks.moves_said, [(0, What.CUT, {"job": "j", "server": "a"})], 1),
+        (
+            checks.moves_said,
+            [
+                (0, What.STATE, {"server": "a", "detail": "refusing"}),
+                (1, What.CUT, {"job": "j", "server": "a"}),
+            ],
+            0,
+        ),
+    ],
+)
+def test_a_checker_names_each_breach_and_nothing_else(
+    check: Callable[[Trace], list[str]], entries: list[tuple[float, What, dict[str, Any]]], broken: int
+) -> None:
+    assert len(check(traced(*entries))) == broken
+
+
+@pytest.mark.parametrize(("gap", "kept"), [(10.0, False), (400.0, True)])
+def test_the_cold_budget_is_checked_in_every_window(gap: float, kept: bool) -> None:
+    entries = [(0.0, What.STATE, {"server": "a", "detail": "cold"})]
+    for n in range(20):
+        entries += claim(100.0 + n * gap, f"j{n}", "a")
+    wrong = checks.cold_not_flooded(traced(*entries), {"a": 10.0}, 0.1, 20_000.0)
+    assert (not wrong) == kept
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        [],
+        {"seconds": "x"},
+        {"bogus": 1},
+        {"servers": {"a": {"speed": 3}}},
+        {"classes": {"c": {"shares": 3}}},
+        {"events": [{"server": "a", "do": "crash", "at": 1}]},
+        {"servers": {"a": {}}, "events": [{"server": "a", "do": "explode", "at": 1}]},
+        {"events": [{"discovery": "sound"}]},
+        {"events": [{"at": 1, "discovery": "asleep"}]},
+        {"events": [{"at": 1, "balancer": 1, "do": "sing"}]},
+    ],
+)
+def test_a_script_that_cannot_be_played_is_refused(told: Any) -> None:
+    with pytest.raises(BadScript):
+        read_script(told)
+
+
+def test_the_registry_answers_with_the_changes_or_with_all() -> None:
+    registry = Registry()
+    registry.put("a", addr="h:1")
+    registry.put("b", addr="h:2")
+    registry.put("a", state="left")
+    assert [e["id"] for e in registry.answer(None)["servers"]] == ["b"]
+    assert [(e["id"], e["state"]) for e in registry.answer(2)["servers"]] == [("a", "left")]
+    assert registry.answer(3) == {"version": 3, "full": False, "servers": []}
+    assert registry.answer(9)["full"]
+
+
+def test_a_play_of_seconds_keeps_the_rules(tmp_path: Path) -> None:
+    """The demo's fleet with a balancer that is killed and comes back, shortened."""
+    script = read_script(SCRIPT)
+    script.seconds, script.rate = 3.0, 30.0
+    told = {"servers": {"gw": {"count": 4}}, "events": [{"at": 1.0, "balancer": 1, "do": "restart"}]}
+    script.events = [
+        *read_script(told).events,
+        *(event for event in script.events if event.at <= 2_000.0),
+    ]
+    trace = anyio.run(Play(script, tmp_path).run)
+    assert not rules(trace, trace.elapsed - 3_000.0)
+    assert trace.count(What.UP).total() > 0 and "gw-1" in report(trace, script.kinds)
+    assert {entry.detail for entry in trace.of(What.STATE)} >= {"sound", "refusing"}
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,369 @@
+"""Stories of the store: killed writers, rot, full disks, two processes, newer releases."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import textwrap
+import time
+from pathlib import Path
+from random import Random
+
+import anyio
+import pytest
+
+from puffinford.cli import main
+from puffinford.core.clock import SettableClock
+from puffinford.core.values import Machine, MachineList
+from puffinford.interface import Health, Server, ServerState
+from puffinford.operators.schema import StateSettings
+from puffinford.state import records, store
+from puffinford.state.keeper import Keeper
+from puffinford.state.records import LIST_KEY, HealthRecord, ListRecord, ServerRecord, encode, server_key
+from puffinford.state.store import Store, StoreFailed, StoreFull, Verdict, open_store
+
+SIZE = 1 << 20
+NOW = 1_800_000_000_000.0
+
+
+def entry(ident: str, state: str = "active", version: int = 1) -> tuple[bytes, bytes]:
+    record = ServerRecord(ident, "127.0.0.1", 80, "lines", state, version)
+    return server_key(ident), encode(server_key(ident), record, NOW)
+
+
+def whole(entries: int, version: int = 1) -> tuple[bytes, bytes]:
+    return LIST_KEY, encode(LIST_KEY, ListRecord(version, entries), NOW)
+
+
+def filled(path: Path, count: int = 20, durable: bool = False) -> Store:
+    made, _ = open_store(path, SIZE, durable=durable)
+    made.write(dict([whole(count), *(entry(f"s-{n}") for n in range(count))]))
+    return made
+
+
+def keeper(path: Path, learned: list[Health] | None = None, **settings: float) -> Keeper:
+    told = StateSettings(**settings)  # type: ignore[arg-type]
+    return Keeper(told, (path, False), SettableClock(), lambda: learned or [], lambda _: None)
+
+
+def listed(*idents: str, version: int = 1, full: bool = True, state: str = "live") -> MachineList:
+    machines = [Machine(Server(ident, state=ServerState(state)), "127.0.0.1", 1) for ident in idents]
+    return MachineList(version, full, machines)
+
+
+def python(code: str, *words: str, **more: object) -> subprocess.Popen[bytes]:
+    return subprocess.Popen([sys.executable, "-c", textwrap.dedent(code), *words], **more)  # type: ignore[call-overload,no-any-return]
+
+
+WRITER = """
+    import sys
+    from pathlib import Path
+    from tests.test_store import entry, whole
+    from puffinford.state.store import open_store
+    made, _ = open_store(Path(sys.argv[1]), 1 << 20, durable=sys.argv[2] == "durable")
+    turn = 0
+    print("ready", flush=True)
+    while True:
+        turn += 1
+        made.write(dict([whole(50, turn), *(entry(f"s-{n}", version=turn) for n in range(50))]))
+"""
+
+
+@pytest.mark.parametrize("kind", ["durable", "shared"])
+def test_a_writer_killed_at_any_moment_leaves_its_last_commit(tmp_path: Path, kind: str) -> None:
+    """SIGKILL over many offsets of a write: what is read is one commit, whole."""
+    path, rng = tmp_path / "state", Random(5)
+    last = 0
+    for _ in range(12):
+        writer = python(WRITER, str(path), kind, stdout=subprocess.PIPE)
+        assert writer.stdout is not None and writer.stdout.readline() == b"ready\n"
+        time.sleep(rng.uniform(0.0, 0.03))  # any offset will do: no verdict hangs on which
+        writer.kill()
+        writer.wait()
+        writer.stdout.close()
+        made, renewal = open_store(path, SIZE, durable=kind == "durable")
+        stored = made.read()
+        made.close()
+        assert renewal is None and not stored.rotten
+        assert {record.version for record, _ in stored.servers.values()} <= {stored.version}
+        assert len(stored.servers) in (0, 50) and stored.version >= min(last, 1)
+        last = stored.version
+
+
+def test_rot_costs_the_record_or_the_store_and_never_the_start(tmp_path: Path) -> None:
+    """Bytes changed all over the file, and a file cut short: the pages of LMDB among them."""
+    path, rng = tmp_path / "state", Random(9)
+    filled(path, 200, durable=True).close()
+    sound = path.read_bytes()
+    verdicts = set()
+    for turn in range(40):
+        rotten = bytearray(sound)
+        if turn % 4 == 0:
+            del rotten[rng.randrange(len(rotten)) :]
+        for _ in range(rng.choice((1, 8, 64))):
+            if rotten:
+                rotten[rng.randrange(len(rotten))] ^= rng.randrange(1, 256)
+        path.write_bytes(rotten)
+        made, renewal = open_store(path, SIZE, durable=True)
+        stored = made.read()
+        assert all(record.id.startswith("s-") and record.port == 80 for record, _ in stored.servers.values())
+        assert made.write(dict([entry("s-new")])) > 0, "it can be written whatever was in it"
+        made.close()
+        verdicts.add(renewal.verdict if renewal else None)
+        if renewal and renewal.verdict is Verdict.UNREADABLE:
+            assert Path(renewal.aside).exists() and not stored.servers
+    assert Verdict.UNREADABLE in verdicts and len(verdicts) > 1
+
+
+def test_a_changed_or_moved_record_is_found_out() -> None:
+    key, value = entry("s-1")
+    for at in range(len(value)):
+        changed = bytearray(value)
+        changed[at] ^= 0x41
+        with pytest.raises(records.BadRecord):
+            records.decode(key, bytes(changed), ServerRecord)
+    with pytest.raises(records.BadRecord):
+        records.decode(server_key("s-2"), value, ServerRecord)
+    with pytest.raises(records.BadRecord):
+        records.decode(key, encode(key, ListRecord(1, 2), NOW), ServerRecord)
+
+
+def test_a_store_of_a_newer_release_is_set_aside_whole(tmp_path: Path) -> None:
+    path = tmp_path / "state"
+    made = filled(path)
+    key, _ = entry("s-3")
+    made.write({key: encode(key, ServerRecord("s-3", "h", 1, "lines", "active", 1), NOW, schema=9)})
+    made.close()
+    made, renewal = open_store(path, SIZE, durable=True)
+    assert renewal is not None and renewal.verdict is Verdict.NEWER and "schema 9" in renewal.why
+    assert not made.read().servers
+    made.close()
+    assert len(store.inspect(Path(renewal.aside)).servers) == 19
+
+
+def test_one_process_writes_and_the_next_takes_over(tmp_path: Path) -> None:
+    path = tmp_path / "state"
+    first = filled(path)
+    code = """
+        import sys
+        from pathlib import Path
+        from tests.test_store import entry
+        from puffinford.state.store import StoreFailed, open_store
+        made, _ = open_store(Path(sys.argv[1]), 1 << 20, durable=False)
+        assert not made.writes and not made.claim() and len(made.read().servers) == 20
+        try:
+            made.write(dict([entry("x")]))
+        except StoreFailed:
+            print("reads", flush=True)
+        sys.stdin.readline()
+        assert made.claim() and made.write(dict([entry("x")]))
+        print("writes", flush=True)
+        sys.stdin.readline()
+    """
+    second = python(code, str(path), stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    assert second.stdin is not None and second.stdout is not None
+    assert second.stdout.readline() == b"reads\n"
+    first.write(dict([entry("y")]))
+    first.let_go()
+    second.stdin.write(b"\n")
+    second.stdin.flush()
+    assert second.stdout.readline() == b"writes\n"
+    assert {"x", "y"} <= first.read().servers.keys() and not first.claim()
+    second.kill()
+    second.wait()
+    assert first.claim(), "a killed writer's lock goes with it"
+    first.close()
+    for pipe in (second.stdin, second.stdout):
+        pipe.close()
+
+
+def test_a_store_never_passes_its_size_and_goes_on_when_it_is_full(tmp_path: Path) -> None:
+    path = tmp_path / "state"
+    made, _ = open_store(path, 256 << 10, durable=False)
+    with pytest.raises(StoreFull):
+        made.write(dict(entry(f"server-{n:06}") for n in range(5_000)))
+    for turn in range(300):
+        made.write(dict(entry(f"server-{n:03}", version=turn) for n in range(100)))
+    assert made.used() <= 256 << 10 and path.stat().st_size <= 256 << 10
+    assert len(made.read().servers) == 100
+    made.close()
+
+
+def test_a_full_disk_is_one_line_and_a_program_that_goes_on(tmp_path: Path) -> None:
+    """The limit on a file's size stands in for a disk without room."""
+    code = """
+        import logging, resource, sys, anyio
+        from pathlib import Path
+        from tests.test_store import keeper, listed
+        logging.basicConfig(level="INFO", format="%(message)s", stream=sys.stdout)
+        kept = keeper(Path(sys.argv[1]), write_every=50.0)
+        async def story():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(kept.run)
+                for turn in range(30):
+                    if turn == 3:
+                        resource.setrlimit(resource.RLIMIT_FSIZE, (20_000, resource.RLIM_INFINITY))
+                    kept.note_list(listed(*(f"s-{turn}-{n}" for n in range(50)), version=turn + 1))
+                    for _ in range(5):
+                        await anyio.sleep(0)
+                    kept._clock.advance(60.0)
+                    for _ in range(5):
+                        await anyio.sleep(0)
+                tasks.cancel_scope.cancel()
+        anyio.run(story)
+        print("went on")
+    """
+    done = python(code, str(tmp_path / "state"), stdout=subprocess.PIPE)
+    out = done.communicate()[0].decode()
+    assert done.returncode == 0 and out.splitlines()[-1] == "went on"
+    assert out.count("state not kept") == 1
+    assert not store.inspect(tmp_path / "state").rotten, "the last commit stays"
+
+
+@pytest.mark.skipif(os.geteuid() != 0, reason="root alone can give rights away")
+def test_a_directory_without_write_right_is_one_line_and_a_start_without(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    for place in (tmp_path, *tmp_path.parents[:2]):
+        place.chmod(0o755)  # or the other user would not get there at all
+    (tmp_path / "closed").mkdir(mode=0o555)
+    code = """
+        import os, sys
+        from pathlib import Path
+        from puffinford.state.store import StoreFailed, open_store
+        os.seteuid(65534)
+        try:
+            open_store(Path(sys.argv[1]), 1 << 20, durable=True)
+        except StoreFailed as exc:
+            print(exc)
+    """
+    done = python(code, str(tmp_path / "closed/state"), stdout=subprocess.PIPE)
+    assert b"ermission" in done.communicate()[0] and done.returncode == 0
+    kept = keeper(tmp_path / "file" / "state")
+    (tmp_path / "file").touch()
+    kept = keeper(tmp_path / "file" / "state")
+    assert kept.start(None).source == "nothing"
+    kept.note_list(listed("s-1"))
+    assert "state unusable" in caplog.text
+
+
+def test_what_changes_is_gathered_and_what_left_is_remembered_for_a_while(tmp_path: Path) -> None:
+    path = tmp_path / "state"
+    learned = [Health("s-1", 0.0, failures=3, retry_at=5.0), Health("s-9", 0.0, failures=1)]
+    kept = keeper(path, learned, forget_after=60_000.0)
+    kept.note_list(listed("s-1", "s-2", "s-3"))
+    kept.note_list(listed("s-2", version=2, full=False, state="draining"))
+    assert kept._urgent.is_set(), "bad news is written at once"
+    kept.note_list(listed("s-1", "s-2", version=3))
+    kept._gather_health()
+    kept._commit_now()
+    assert kept._store is not None
+    stored = kept._store.read()
+    states = {ident: record.state for ident, (record, _) in stored.servers.items()}
+    assert states == {"s-1": "active", "s-2": "active", "s-3": "left"} and stored.whole
+    assert stored.version == 3 and set(stored.health) == {"s-1"}
+    learned.clear()
+    kept._clock.advance(61_000.0)  # type: ignore[attr-defined]
+    kept._left["s-3"] -= 61_000.0
+    kept._gather_health()
+    kept._forget()
+    kept._commit_now()
+    stored = kept._store.read()
+    assert set(stored.servers) == {"s-1", "s-2"} and not stored.health
+    kept._store.close()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("turns", range(6))
+async def test_the_end_of_the_program_loses_nothing_that_was_noted(tmp_path: Path, turns: int) -> None:
+    """A commit that had been handed to the thread, and not begun, was lost with the program's end."""
+    kept = keeper(tmp_path / "state")
+    kept._slow_commits = True
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(kept.run)
+        await anyio.wait_all_tasks_blocked()
+        kept.note_list(listed("s-1", state="draining"))
+        for _ in range(turns):
+            await anyio.sleep(0)
+        tasks.cancel_scope.cancel()
+    made, _ = open_store(tmp_path / "state", SIZE, durable=False)
+    assert set(made.read().servers) == {"s-1"}
+    made.close()
+
+
+def test_a_known_list_that_discovery_only_adds_to_is_kept_whole(tmp_path: Path) -> None:
+    """The store held the changes alone, and the next version started with three servers of five."""
+    path = tmp_path / "state"
+    kept = keeper(path)
+    assert kept.start(listed("s-1", "s-2", "s-3", version=4)).source == "known"
+    kept.note_list(listed("s-4", version=5, full=False))
+    kept._commit_now()
+    assert kept._store is not None
+    stored = kept._store.read()
+    assert set(stored.servers) == {"s-1", "s-2", "s-3", "s-4"} and stored.whole and stored.version == 5
+    kept._store.close()
+    again = keeper(path)
+    begun = again.start(listed("s-1", version=2))
+    assert (begun.source, len(begun.restored.machines.machines), begun.version) == ("store", 4, 5)
+    assert again._store is not None
+    again._store.close()
+
+
+def test_the_tools_show_move_verify_and_compact(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path, other, text = tmp_path / "state", tmp_path / "other", str(tmp_path / "export.json")
+    made = filled(path, 3)
+    key = records.health_key("s-1")
+    made.write({key: encode(key, HealthRecord("s-1", failures=2), NOW)})
+
+    def run(*words: str) -> tuple[int, str]:
+        code = main(["state", *words])
+        told = capsys.readouterr()
+        return code, told.out + told.err
+
+    made.close()
+    code, out = run("show", "--file", str(path))
+    assert code == 0 and "3 listed" in out and "down after 2 failures" in out
+    assert run("show", "--file", str(path), "--json")[1].count('"server"') == 3
+    assert run("export", "--file", str(path), text) == (0, "")
+    with store.writing(path):
+        assert run("import", "--file", str(path), text)[0] == 1, "a balancer writes there"
+        assert run("compact", "--file", str(path))[0] == 1
+    assert run("import", "--file", str(other), text)[0] == 0
+    assert store.inspect(other).servers == store.inspect(path).servers
+    assert run("compact", "--file", str(other))[0] == 0
+    assert run("verify", "--file", str(other))[0] == 0
+    (tmp_path / "bad.json").write_text('{"format": "x"}')
+    assert run("import", "--file", str(other), str(tmp_path / "bad.json"))[0] == 2
+    raw = other.read_bytes()
+    at = raw.index(b"\xa3s-2")
+    other.write_bytes(raw[:at] + b"\xa3s-7" + raw[at + 4 :])
+    code, out = run("verify", "--file", str(other))
+    assert code == 1 and "checksum" in out and "3 servers were listed, 2 are there" in out
+    assert run("show", "--file", str(tmp_path / "none"))[0] == 1
+
+
+def test_a_store_made_smaller_keeps_the_list_first(tmp_path: Path) -> None:
+    path = tmp_path / "state"
+    made, _ = open_store(path, 8 << 20, durable=True)
+    pairs = dict(entry(f"gone-{n:05}", "left") for n in range(8_000))
+    made.write(pairs | dict([whole(50), *(entry(f"z-{n}") for n in range(50))]))
+    made.close()
+    made, renewal = open_store(path, 512 << 10, durable=True)
+    stored = made.read()
+    assert renewal is not None and renewal.verdict is Verdict.FULL
+    assert stored.whole and 0 < len(stored.servers) < 8_000
+    made.close()
+
+
+def test_a_store_that_another_kind_of_file_took_the_place_of(tmp_path: Path) -> None:
+    path = tmp_path / "state"
+    path.write_text("not a store at all")
+    made, renewal = open_store(path, SIZE, durable=True)
+    assert renewal is not None and renewal.verdict is Verdict.UNREADABLE
+    made.close()
+    path.write_text("not a store at all")
+    with pytest.raises(StoreFailed):
+        open_store(path, SIZE, durable=False)
+    assert signal.getsignal(signal.SIGCHLD) is signal.SIG_DFL
--- /dev/null
+++ b/tests/test_trust.py
@@ -0,0 +1,139 @@
+"""What an old list and old knowledge are worth, and which word of discovery is taken."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from puffinford.core.values import Machine, MachineList
+from puffinford.interface import Health, Server, ServerState
+from puffinford.state import trust
+from puffinford.state.records import HealthRecord, ListRecord, ServerRecord, Stored
+from puffinford.state.recovery import ListGuard, merge, to_health, to_health_record, to_machine, to_record
+
+LIVE, DRAINING, GONE = ServerState.LIVE, ServerState.DRAINING, ServerState.GONE
+WEIGHTS = trust.Weights()
+NOW = 1_800_000_000_000.0
+HOUR = 3_600_000.0
+times = st.floats(0, 4 * 86_400_000.0)
+
+
+def listed(version: int, full: bool = True, **states: ServerState) -> MachineList:
+    machines = [Machine(Server(ident, state=state), "127.0.0.1", 1) for ident, state in states.items()]
+    return MachineList(version, full, machines)
+
+
+def kept(version: int, old: float, lost: int = 0, **states: str) -> Stored:
+    servers = {
+        ident: (ServerRecord(ident, "127.0.0.1", 2, "lines", state, version), NOW - old)
+        for ident, state in states.items()
+    }
+    there = sum(state != "left" for state in states.values())
+    return Stored(version, NOW - old, there + lost, servers)
+
+
+@given(times, times)
+def test_trust_falls_with_age_and_so_do_its_terms(one: float, other: float) -> None:
+    younger, older = sorted((one, other))
+    assert 1.0 >= trust.trust(younger, WEIGHTS) >= trust.trust(older, WEIGHTS) >= 0.0
+    before, after = trust.terms(younger, 40, WEIGHTS), trust.terms(older, 40, WEIGHTS)
+    assert before.patience >= after.patience >= WEIGHTS.patience_old - 1e-9
+    assert (before.most or 99) >= (after.most or 99) >= 1
+
+
+def test_a_minute_an_hour_and_a_day() -> None:
+    assert trust.terms(60_000.0, 10, WEIGHTS) == trust.Terms(0, 400.0)
+    hour = trust.terms(HOUR, 10, WEIGHTS)
+    assert hour.most == 2 and 200.0 < hour.patience < 300.0
+    assert trust.terms(24 * HOUR, 10, WEIGHTS).most == 1
+
+
+def test_a_clock_that_was_set_back_makes_a_list_old_not_new() -> None:
+    assert trust.age(NOW + 2_000.0, NOW) == 0.0
+    assert trust.age(NOW + HOUR, NOW) == HOUR
+    start = merge(kept(5, -2 * HOUR, a="active"), None, NOW, 0.0, WEIGHTS, 0.0)
+    assert (start.age, start.restored.most) == (HOUR, 2)
+
+
+def test_what_was_learned_ends_with_its_own_time() -> None:
+    slow = Health("a", NOW, slow_until=NOW + 3_000.0, late_at=NOW, delay=400.0, room=5.0, room_at=NOW)
+    soon, later = trust.weigh(slow, NOW + 2_000.0, WEIGHTS), trust.weigh(slow, NOW + 20_000.0, WEIGHTS)
+    assert soon is not None and soon.slow_until and soon.room == 5.0
+    assert later is not None and not later.slow_until and later.room == 5.0
+    assert trust.weigh(slow, NOW + 120_000.0, WEIGHTS) is None
+    assert trust.weigh(Health("a", NOW + HOUR, failures=2), NOW, WEIGHTS) is None, "of a time to come"
+
+
+@given(
+    st.integers(0, 3),
+    *[st.floats(1.0, 2e12).map(round) for _ in range(3)],
+    st.none() | st.floats(0.0, 100.0),
+    st.sampled_from([0.0, 5_000.0, -77.0]),
+)
+def test_records_bring_back_what_was_kept(
+    failures: int, retry: float, slow: float, started: float, room: float | None, offset: float
+) -> None:
+    health = Health("a", 3e12, failures, retry, None, slow, 0.0, 7.0, room, 0.0, None)
+    record = to_health_record(health, offset)
+    back = to_health(record, 3e12 + offset, offset)
+    assert (back.failures, back.room, back.told_at) == (failures, room, 3e12)
+    assert abs(back.retry_at - retry) < 100.0 and isinstance(record, HealthRecord)
+    machine = Machine(Server("a", "z", "k", 3, DRAINING, 2.0, float(started)), "::1", 8, "channels")
+    again = to_machine(to_record(machine, 4, offset), offset)
+    assert (
+        again is not None
+        and again.server.state is DRAINING
+        and (again.host, again.front) == ("::1", "channels")
+    )
+
+
+def test_the_newer_side_counts_entry_by_entry_and_nothing_gone_comes_back() -> None:
+    stored = kept(7, 1_000.0, a="active", b="leaving", c="left")
+    older = listed(6, a=LIVE, b=LIVE, c=LIVE, d=LIVE)
+    start = merge(stored, older, NOW, 0.0, WEIGHTS, 0.0)
+    states = {m.server.id: m.server.state for m in start.restored.machines.machines}
+    assert states == {"a": LIVE, "b": DRAINING} and start.restored.unproven == {"a"}
+    assert (start.source, start.version) == ("store", 7)
+    newer = merge(stored, listed(8, a=DRAINING, c=LIVE), NOW, 0.0, WEIGHTS, 0.0)
+    states = {m.server.id: m.server.state for m in newer.restored.machines.machines}
+    assert states == {"a": DRAINING, "c": LIVE} and (newer.source, newer.version) == ("known", 8)
+
+
+def test_a_store_that_lost_an_entry_asks_for_the_whole_list() -> None:
+    assert merge(kept(7, 0.0, a="active"), None, NOW, 0.0, WEIGHTS, 0.0).version == 7
+    assert merge(kept(7, 0.0, lost=1, a="active"), None, NOW, 0.0, WEIGHTS, 0.0).version is None
+    assert merge(None, None, NOW, 0.0, WEIGHTS, 0.0).source == "nothing"
+    assert ListRecord(1, 2).entries == 2
+
+
+def test_an_older_answer_brings_its_bad_news_at_once_and_the_rest_when_said_twice() -> None:
+    guard = ListGuard(9, listed(9, a=LIVE, b=LIVE, c=LIVE).machines)
+    first = guard.judge(listed(2, a=LIVE, b=DRAINING, x=LIVE))
+    assert first.version is None and first.machines is not None and not first.machines.full
+    assert {m.server.id: m.server.state for m in first.machines.machines} == {"b": DRAINING, "c": GONE}
+    second = guard.judge(listed(2, a=LIVE, b=DRAINING, x=LIVE))
+    assert second.version == 2 and second.machines is not None and len(second.machines.machines) == 3
+    assert guard.judge(listed(3, False, x=DRAINING)).version == 3
+
+
+def test_changes_that_cannot_be_placed_ask_for_the_whole_list() -> None:
+    guard = ListGuard(9, listed(9, a=LIVE).machines)
+    doubted = guard.judge(listed(4, False, a=LIVE))
+    assert (doubted.machines, doubted.version, guard.version) == (None, None, None)
+    assert guard.judge(listed(10, a=LIVE)).version == 10 and guard.version == 10
+    guard.moved()
+    assert guard.judge(listed(1, False, a=LIVE)).machines is None, "changes against another's list"
+    assert guard.judge(listed(1, a=LIVE)).version == 1
+
+
+def test_an_answer_at_odds_with_itself_is_told_the_worse() -> None:
+    machines = listed(1, a=DRAINING).machines + listed(1, a=LIVE, b=LIVE).machines
+    taken = ListGuard().judge(MachineList(1, True, machines)).machines
+    assert taken is not None
+    assert {m.server.id: m.server.state for m in taken.machines} == {"a": DRAINING, "b": LIVE}
+
+
+def test_a_list_that_shares_nothing_with_the_stored_one_replaces_it() -> None:
+    guard = ListGuard(3, listed(3, a=LIVE).machines)
+    taken = guard.judge(listed(4, x=LIVE, y=LIVE))
+    assert taken.machines is not None and taken.machines.full and taken.version == 4
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -12,9 +12,10 @@
 import pytest
 
 from puffinford.core.clock import SettableClock
+from puffinford.core.places import state_path
 from puffinford.fronts.channels import codec
 from puffinford.fronts.sockets import Budget, Door
-from puffinford.management.versions import OWN_FILES, Versions, state_path
+from puffinford.management.versions import OWN_FILES, Versions
 from tests.stage import ChannelPeer, Peer, call, discovery, echo, opening, program, stage
 from tests.test_program import FACTS
 
@@ -78,19 +79,19 @@
 @pytest.mark.anyio
 async def test_the_channel_front_changes_versions_too(tmp_path: Path) -> None:
     """Both listen at its address; whoever comes once the old one has stopped is the new one's."""
-    config, channels, state = tmp_path / "config.json", tmp_path / "channels.toml", tmp_path / "state"
+    config, channels, state = tmp_path / "config.json", tmp_path / "puffinford.conf", tmp_path / "state"
     state.mkdir()
     platform, place = socket.create_server(("127.0.0.1", 0)), socket.socket()
     place.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     place.bind(("127.0.0.1", 0))
     port, fd = place.getsockname()[1], platform.fileno()
-    channels.write_text(f'enabled = true\nlisten = "127.0.0.1:{port}"\n')
+    channels.write_text(f"section channels\n enabled on\n listen 127.0.0.1:{port}\n")
     async with stage() as here:
         server = {"id": "s-1", "addr": f"127.0.0.1:{await here.listen(lambda s: echo(Peer(s)))}"}
         told = {"listen": "127.0.0.1:1", "discovery": f"127.0.0.1:{await here.listen(discovery([], server))}"}
         config.write_text(json.dumps({**told, "settings": FACTS}))
         env = {"TMPDIR": str(state), "EDGE_SOCKET_FD": str(fd), "EDGE_MGMT": "127.0.0.1:0"}
-        words = ("serve", "--channels", str(channels))
+        words = ("serve", "--settings", str(channels))
 
         async def client(job: str) -> ChannelPeer:
             peer = await ChannelPeer(await anyio.connect_tcp("127.0.0.1", port)).hello()
