--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build: what run and sim need; test, lint: what CI checks; run: one balancer by $EDGE_CONFIG; demo: ten seconds of a
 # small fleet round one balancer; bench-NAME: a measurement, whose last line is `bench NAME key=value ...`
-.PHONY: build dev test lint run demo bench-start
+.PHONY: build dev test lint run demo bench-start bench-rebalance
 
 build:
 	test -x .venv/bin/python || python3 -m venv .venv
@@ -28,3 +28,6 @@
 # BEFORE=TREE plays another checkout of the program in turns
 bench-start: build
 	.venv/bin/python -m benchmarks.start $(if $(BEFORE),--before $(BEFORE))
+
+bench-rebalance: build
+	.venv/bin/python -m benchmarks.rebalance
--- /dev/null
+++ b/benchmarks/rebalance/cost.py
@@ -0,0 +1,43 @@
+"""What a round costs with many standing connections: module, exchange's part and planner together."""
+
+from __future__ import annotations
+
+import random
+import time
+from functools import partial
+
+from puffinford import Balancer, Settings
+from puffinford import interface as it
+from puffinford.interface import ListKind, RequestClass, Server, ServerList
+from puffinford.rebalance.planner import Candidate, Figures, Place, Planner
+from puffinford.rebalance.service import ROUND
+
+
+def core_share(connections: int, servers: int, rounds: int = 200) -> float:
+    """Part of a core that rounds take while everything is out of balance, and each round moves one."""
+    balancer = Balancer(Settings([RequestClass("x", 2_000.0)]), 1)
+    now = 100_000.0
+    named = [Server(f"s-{n}") for n in range(servers)]
+    balancer.handle(now, [ServerList(ListKind.REPLACE, named[: servers // 2])])
+    for n in range(connections):
+        for action in balancer.handle(now, [it.Request(f"j{n}", "x", 2_000.0, key=n)]):
+            if isinstance(action, it.Attempt):
+                balancer.handle(now, [it.Established(action.id, 0, action.server, 1.0)])
+    balancer.handle(now, [ServerList(ListKind.REPLACE, named)])
+    planner = Planner(Figures(settle=0.0, young=0.0), random.Random(1))
+    began = time.process_time()
+    for _ in range(rounds):
+        now += ROUND
+        places = [
+            Place(s.server, s.load, s.capacity, s.usable, s.strained, s.flows) for s in balancer.survey(now)
+        ]
+        planner.observe(now, places)
+        for source in planner.sources()[:1]:
+            sample = [
+                Candidate(f.id, f.key, source.id, f.cls, 1.0, f.load, now - f.placed)
+                for f in balancer.standing(source.id, 64)
+            ]
+            planned = planner.choose(now, sample, partial(balancer.advise, now=now))
+            if planned is not None:
+                balancer.handle(now, [it.Relocate(planned.job, planned.target, 2_500.0)])
+    return (time.process_time() - began) / (rounds * ROUND / 1_000.0)
--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -14,42 +14,8 @@
 from hashlib import blake2b
 from operator import attrgetter
 
-from puffinford.interface import (
-    Action,
-    Attempt,
-    Cancel,
-    ClientLeft,
-    Cordoned,
-    DelayNote,
-    Effect,
-    Established,
-    Event,
-    Fail,
-    Health,
-    Inherited,
-    Learned,
-    ListKind,
-    LoadNote,
-    Log,
-    Move,
-    Outcome,
-    PeerMessage,
-    Probe,
-    ProbeResult,
-    Refuse,
-    Request,
-    RequestClass,
-    Result,
-    Scope,
-    Server,
-    ServerList,
-    ServerState,
-    SetTimer,
-    Settings,
-    Subscribe,
-    Timer,
-    Unproven,
-)
+from puffinford import interface as it
+from puffinford.timers import INSTANT, Timers
 
 PREFIX = 3  # entries of the working set where balancers far outnumber servers
 COVER = 4  # balancers that should have each server in their working set, so that none hangs on few
@@ -81,7 +47,6 @@
 LIMIT_GROWTH = 1.03  # each time, once they are not: slow, for all balancers grow together
 LIMIT_SPARE = 1.1  # how far the class worth most for its load may pass the limit
 RESTART_LEAST = 50.0  # starts of a server this close are the same one
-INSTANT = 0.001  # times this close are the same: hosts count microseconds, and floats round
 HELD_KEYS = 10_000  # connections remembered after their packets went elsewhere
 EMPTY_OVER = 2_000.0  # the clients of a server that operators take out are moved within this, evenly
 EMPTY_STEP = 100.0
@@ -94,7 +59,7 @@
 HOLD = 2.0  # a request waits so many patiences for claims that prove restored entries, and no longer
 COLD_SHARE = 0.5  # part of a warm server's rate: other balancers' chance bursts need the other part
 
-_NEVER_RAN = frozenset((Result.FULL, Result.CONNECT_FAILED, Result.MOOT))
+_NEVER_RAN = frozenset((it.Result.FULL, it.Result.CONNECT_FAILED, it.Result.MOOT))
 
 
 def stable_hash(text: str) -> int:
@@ -119,7 +84,7 @@
         "unproven", "used", "used_at", "used_since", "zone",
     )  # fmt: skip
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: it.Server) -> None:
         self.id = server.id
         self.zone = server.zone
         self.cell = server.cell
@@ -156,7 +121,7 @@
     @property
     def open(self) -> bool:
         """Whether new connections may go there at all."""
-        return self.listed is ServerState.LIVE and not self.cordoned
+        return self.listed is it.ServerState.LIVE and not self.cordoned
 
     def start_cold(self, since: float, now: float, credit: float) -> None:
         """It has started, or may have: what was known of its health is over."""
@@ -178,10 +143,10 @@
 
     __slots__ = (
         "backend", "blamed", "came_back", "cls", "deadline", "group", "held_until", "id", "key", "load",
-        "midflow", "paid", "proving", "risk", "risk_at", "sent", "sent_at", "standing", "tried",
+        "midflow", "paid", "place", "proving", "risk", "risk_at", "sent", "sent_at", "standing", "tried",
     )  # fmt: skip
 
-    def __init__(self, request: Request, cls: RequestClass, deadline: float, load: float) -> None:
+    def __init__(self, request: it.Request, cls: it.RequestClass, deadline: float, load: float) -> None:
         self.id = request.id
         self.cls = cls
         self.deadline = deadline
@@ -196,6 +161,7 @@
         self.standing = False
         self.proving = False  # its claim is out to an unproven entry
         self.paid = False  # such a claim of it failed
+        self.place: Backend | None = None  # kept for it since its client was moved
         self.held_until = 0.0  # it waits no longer than this for such claims of others
         self.tried: list[Backend] = []
         self.blamed: list[Backend] = []  # those that answered it with an error
@@ -204,56 +170,27 @@
 
     def may_go_to(self, backend: Backend, now: float) -> bool:
         """The rule that no effect happens twice."""
-        if self.risk is None or self.cls.effect is Effect.SAFE:
+        if self.risk is None or self.cls.effect is it.Effect.SAFE:
             return True
-        if self.cls.effect is Effect.UNSAFE or now >= self.risk_at + self.cls.window:
+        if self.cls.effect is it.Effect.UNSAFE or now >= self.risk_at + self.cls.window:
             return False
-        if self.cls.scope is Scope.ZONE:
+        if self.cls.scope is it.Scope.ZONE:
             return backend.zone == self.risk.zone
-        return self.cls.scope is Scope.ALL or backend.cell == self.risk.cell
+        return self.cls.scope is it.Scope.ALL or backend.cell == self.risk.cell
 
     def may_be_refused(self) -> bool:
         """A refusal says that trying again is harmless."""
-        if self.risk is None or self.cls.effect is Effect.SAFE:
+        if self.risk is None or self.cls.effect is it.Effect.SAFE:
             return True
-        return self.cls.effect is Effect.KEYED and self.cls.scope is Scope.ALL
-
-
-class Timers:
-    """The one timer mechanism: due calls in a heap, one wake-up asked of the host at a time."""
-
-    def __init__(self) -> None:
-        self._heap: list[tuple[float, int, Callable[[], None]]] = []
-        self._count = 0
-        self._wake = float("inf")
-        self._token = 0
-
-    def at(self, when: float, call: Callable[[], None]) -> None:
-        self._count += 1
-        heapq.heappush(self._heap, (when, self._count, call))
-
-    def run(self, now: float) -> None:
-        while self._heap and self._heap[0][0] <= now + INSTANT:
-            heapq.heappop(self._heap)[2]()
-
-    def woken(self, token: int) -> None:
-        """A wake-up has come: perhaps a hair early, by rounding, so that the next must be asked for anew."""
-        if token == self._token:
-            self._wake = float("inf")
-
-    def wake(self, now: float) -> SetTimer | None:
-        """The wake-up to ask for, if none early enough is on its way."""
-        if not self._heap or self._heap[0][0] >= self._wake:
-            return None
-        self._wake = self._heap[0][0]
-        self._token += 1
-        return SetTimer(min(max(self._wake - now, 0.0), 3_600_000.0), self._token)
+        return self.cls.effect is it.Effect.KEYED and self.cls.scope is it.Scope.ALL
 
 
 class Fleet:
     """The server list: its entries, the order of this balancer, and the calls that keep it fresh."""
 
-    def __init__(self, settings: Settings, rng: random.Random, timers: Timers, act: Callable[[Action], None]):
+    def __init__(
+        self, settings: it.Settings, rng: random.Random, timers: Timers, act: Callable[[it.Action], None]
+    ):
         self._settings = settings
         self._rng = rng
         self._timers = timers
@@ -267,43 +204,43 @@
         self._failures = 0
         self._now = 0.0
 
-    def configure(self, settings: Settings) -> None:
+    def configure(self, settings: it.Settings) -> None:
         self._settings = settings
         self._shuffle()
 
-    def take(self, event: ServerList, now: float) -> bool:
+    def take(self, event: it.ServerList, now: float) -> bool:
         """Take in a list; tells whether the order has changed."""
         self._now = now
-        if event.kind is ListKind.UNAVAILABLE:
+        if event.kind is it.ListKind.UNAVAILABLE:
             self._asking = self._subscribed = False
             self._failures += 1
             self._ask_later()
             return False
-        if event.kind is ListKind.RESTORED:
+        if event.kind is it.ListKind.RESTORED:
             self._ask_later()
         else:
             self._asking = False
             self._failures = 0
             self._subscribed = True
         changed = False
-        if event.kind is not ListKind.UPDATE:
+        if event.kind is not it.ListKind.UPDATE:
             named = {server.id for server in event.servers}
             for backend in self.backends.values():
                 if backend.id not in named:
-                    backend.listed = ServerState.GONE
+                    backend.listed = it.ServerState.GONE
                     changed = True
         for server in event.servers:
             changed |= self._take_entry(server, now)
         self.backends = {
             ident: backend
             for ident, backend in self.backends.items()
-            if backend.listed is not ServerState.GONE or backend.flows
+            if backend.listed is not it.ServerState.GONE or backend.flows
         }
         if changed:
             self._shuffle()
         return changed
 
-    def _take_entry(self, server: Server, now: float) -> bool:
+    def _take_entry(self, server: it.Server, now: float) -> bool:
         backend = self.backends.get(server.id)
         if backend is None:
             backend = self.backends[server.id] = Backend(server)
@@ -357,16 +294,16 @@
         self._timers.at(self._now + self._rng.random() * window, self._ask)
 
     def _ask(self) -> None:
-        self._act(Subscribe(True))
+        self._act(it.Subscribe(True))
 
 
 class Balancer:
     """One balancer: `handle` takes the events of a moment and returns the actions."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: it.Settings, seed: int) -> None:
         self._rng = random.Random(seed)
         self._timers = Timers()
-        self._actions: list[Action] = []
+        self._actions: list[it.Action] = []
         self._fleet = Fleet(settings, self._rng, self._timers, self._do)
         self._flows: dict[str, Flow] = {}
         self._holders: dict[int, tuple[str, float]] = {}  # where connections by key were last, and when
@@ -390,27 +327,30 @@
         self._proving_most = 0  # such claims that may be out; 0: any number
         self._proving = 0  # and that are
         self._held: dict[str, Flow] = {}  # requests that wait for what those claims tell
+        self._kept: dict[int, Flow] = {}  # places kept for moved clients, by key
+        self._doubles = random.Random(seed ^ 0xD0)  # for queries, which must not change what is drawn next
         self._probe_credit = 0.0
         self._probing = False  # a round of probes is due
         self._take_settings(settings)
         self._handlers: dict[type, Callable[..., None]] = {
-            Request: self._on_request,
-            Established: self._on_established,
-            Outcome: self._on_outcome,
-            LoadNote: self._on_load,
-            DelayNote: self._on_delay,
-            ClientLeft: self._on_left,
-            Timer: self._on_timer,
-            ServerList: self._on_list,
-            Cordoned: self._on_cordoned,
-            Unproven: self._on_unproven,
-            Learned: self._on_learned,
-            Inherited: self._on_inherited,
-            ProbeResult: self._on_probe,
-            PeerMessage: self._on_peer,
+            it.Request: self._on_request,
+            it.Established: self._on_established,
+            it.Outcome: self._on_outcome,
+            it.LoadNote: self._on_load,
+            it.DelayNote: self._on_delay,
+            it.ClientLeft: self._on_left,
+            it.Timer: self._on_timer,
+            it.ServerList: self._on_list,
+            it.Cordoned: self._on_cordoned,
+            it.Unproven: self._on_unproven,
+            it.Learned: self._on_learned,
+            it.Relocate: self._on_relocate,
+            it.Inherited: self._on_inherited,
+            it.ProbeResult: self._on_probe,
+            it.PeerMessage: self._on_peer,
         }
 
-    def _take_settings(self, settings: Settings) -> None:
+    def _take_settings(self, settings: it.Settings) -> None:
         self._settings = settings
         self._classes = {cls.name: cls for cls in settings.classes}
         self._shortest_aim = min((c.message_aim for c in settings.classes if c.message_aim > 0), default=0.0)
@@ -424,13 +364,13 @@
                 self._probing = True
                 self._timers.at(0.0, self._probe_round)
 
-    def configure(self, settings: Settings) -> None:
+    def configure(self, settings: it.Settings) -> None:
         """Go on under other settings. What is known of servers stays, and so do the connections."""
         self._take_settings(settings)
         self._fleet.configure(settings)
         self._set_until = -1.0
 
-    def handle(self, now: float, events: list[Event]) -> list[Action]:
+    def handle(self, now: float, events: list[it.Event]) -> list[it.Action]:
         self._now = now
         self._actions = []
         for event in events:
@@ -441,7 +381,7 @@
             self._actions.append(wake)
         return self._actions
 
-    def _do(self, action: Action) -> None:
+    def _do(self, action: it.Action) -> None:
         self._actions.append(action)
 
     def excluded(self, now: float) -> set[str]:
@@ -452,7 +392,7 @@
             if not backend.open or backend.down or backend.slow_until > now
         }
 
-    def health(self, now: float) -> list[Health]:
+    def health(self, now: float) -> list[it.Health]:
         """What is known of the servers of which there is anything to tell."""
         told = []
         for b in self._fleet.backends.values():
@@ -465,18 +405,63 @@
                 or max(b.slow_until, b.late_until) > now
             ):
                 late = max(b.late_at, 0.0)
-                health = Health(b.id, now, failures, b.retry_at, b.away_at, b.slow_until, late, b.delay, room)
+                health = it.Health(
+                    b.id, now, failures, b.retry_at, b.away_at, b.slow_until, late, b.delay, room
+                )
                 health.room_at = max(b.room_at, 0.0)
                 health.cold_from = b.cold_from
                 told.append(health)
         return told
 
+    def survey(self, now: float) -> list[it.Survey]:
+        """Every listed server, as far as it matters to what stands. Without effect."""
+        self._now = now
+        told = []
+        for b in self._fleet.backends.values():
+            size = b.size if self._settings.sized and b.size > 0 else 1.0
+            usable = b.open and self._usable(b) and not b.unproven and b.load <= self._room(b)
+            strained = b.down or b.late_until > now
+            capacity = size * self._warmth(b) if b.open else 0.0
+            told.append(it.Survey(b.id, self._cost(b), capacity, usable, strained, len(b.flows)))
+        return told
+
+    def standing(self, server: str, most: int) -> list[it.Standing]:
+        """At most so many of the own connections that stand at a server, drawn at random. Without effect."""
+        backend = self._fleet.backends.get(server)
+        flows = [] if backend is None else list(backend.flows.values())
+        if len(flows) > 2 * most:
+            flows = self._doubles.sample(flows, 2 * most)
+        return [
+            it.Standing(f.id, f.key, f.cls.name, f.load, f.group, f.sent_at, f.came_back)
+            for f in flows
+            if f.standing and f.key is not None
+        ][:most]
+
+    def advise(self, ident: str, now: float) -> str | None:
+        """Where a standing connection would be placed, were it new. Without effect."""
+        flow = self._flows.get(ident)
+        if flow is None or not flow.standing or flow.backend is None or self._limit < float("inf"):
+            return None
+        self._now = now
+        here, drawn = flow.backend, self._rng
+        here.load -= flow.load
+        self._rng = self._doubles
+        try:
+            chosen = None
+            if self._settings.grouped and flow.group is not None:
+                chosen = self._compare(flow, self._group_set(flow.group))
+            chosen = chosen or self._compare(flow, self._working_set())
+        finally:
+            here.load += flow.load
+            self._rng = drawn
+        return chosen.id if chosen is not None else None
+
     # Events
 
-    def _on_list(self, event: ServerList) -> None:
-        if event.kind is ListKind.RESTORED:
+    def _on_list(self, event: it.ServerList) -> None:
+        if event.kind is it.ListKind.RESTORED:
             self._restored = True
-        elif event.kind is not ListKind.UNAVAILABLE and self._restored:
+        elif event.kind is not it.ListKind.UNAVAILABLE and self._restored:
             self._restored = False
             self._timers.at(self._now, self._discovery_speaks)
         if self._fleet.take(event, self._now):
@@ -489,17 +474,17 @@
         """The first list since the start: nothing has to prove itself any more."""
         for backend in self._fleet.backends.values():
             backend.unproven = False
-            if backend.listed is ServerState.GONE:
+            if backend.listed is it.ServerState.GONE:
                 self._empty(backend, self._now + EMPTY_OVER)
         self._try_held()
 
-    def _on_unproven(self, event: Unproven) -> None:
+    def _on_unproven(self, event: it.Unproven) -> None:
         self._proving_most = event.most
         self._patience = event.patience
         for backend in self._fleet.backends.values():
             backend.unproven = self._restored and backend.id in event.servers
 
-    def _on_learned(self, event: Learned) -> None:
+    def _on_learned(self, event: it.Learned) -> None:
         now = self._now
         for health in event.entries:
             b = self._fleet.backends.get(health.server)
@@ -524,7 +509,34 @@
                 b.credit_at = now
         self._set_until = -1.0
 
-    def _on_cordoned(self, event: Cordoned) -> None:
+    def _on_relocate(self, event: it.Relocate) -> None:
+        flow = self._flows.get(event.id)
+        b = self._fleet.backends.get(event.server)
+        if flow is None or not flow.standing or flow.key is None or b is None or flow.key in self._kept:
+            return
+        if not (b.open and self._usable(b) and b.load <= self._room(b) and self._fits_cold(b)):
+            return
+        if b.cold_from is not None:
+            b.credit -= 1.0
+        self._close(flow)
+        # The place is a flow of its own there, so that every count sees it until its client comes.
+        kept = self._kept[flow.key] = Flow(
+            it.Request(f"~{flow.id}", flow.cls.name, 0.0), flow.cls, 0.0, flow.load
+        )
+        kept.group = flow.group
+        self._occupy(kept, b)
+        self._timers.at(self._now + event.hold, lambda: self._give_up(flow.key, kept))
+
+    def _give_up(self, key: int | None, kept: Flow) -> Backend | None:
+        """Release a place that was kept; where that was, if it still was."""
+        if key is None or self._kept.get(key) is not kept:
+            return None
+        del self._kept[key]
+        backend = kept.backend
+        self._release(kept)
+        return backend
+
+    def _on_cordoned(self, event: it.Cordoned) -> None:
         out, back = self._fleet.cordon(event.servers, self._now)
         for backend in out:
             self._empty(backend, self._now + EMPTY_OVER)
@@ -545,7 +557,7 @@
 
     def _empty(self, backend: Backend, until: float) -> None:
         """Move the clients of a server that is out, evenly, so that they do not all come back together."""
-        if not backend.cordoned and backend.listed is not ServerState.GONE:
+        if not backend.cordoned and backend.listed is not it.ServerState.GONE:
             return
         standing = [flow for flow in backend.flows.values() if flow.standing]
         steps = max(1, int((until - self._now) / EMPTY_STEP))
@@ -554,7 +566,7 @@
         if backend.flows:
             self._timers.at(self._now + EMPTY_STEP, lambda: self._empty(backend, until))
 
-    def _on_request(self, event: Request) -> None:
+    def _on_request(self, event: it.Request) -> None:
         now = self._now
         cls = self._classes[event.cls]
         flow = Flow(event, cls, now + event.left, self._expected_load(event.load))
@@ -562,9 +574,15 @@
             self._learn_class(cls, flow.load)
         self._flows[flow.id] = flow
         self._probe_credit += self._probes_each
+        if event.key in self._kept:
+            backend = self._give_up(event.key, self._kept[event.key])
+            if backend is not None and backend.open and self._usable(backend):
+                flow.place = backend
+                if backend.cold_from is not None:
+                    backend.credit += 1.0  # paid when the place was kept
         self._send(flow)
 
-    def _on_inherited(self, event: Inherited) -> None:
+    def _on_inherited(self, event: it.Inherited) -> None:
         request = event.request
         backend = self._fleet.backends.get(event.server)
         flow = Flow(request, self._classes[request.cls], self._now, self._expected_load(request.load))
@@ -574,7 +592,7 @@
         if backend is not None:
             self._occupy(flow, backend)
 
-    def _on_established(self, event: Established) -> None:
+    def _on_established(self, event: it.Established) -> None:
         flow = self._flows.get(event.id)
         if flow is None or flow.backend is None or event.attempt != flow.sent - 1:
             return
@@ -599,7 +617,7 @@
         backend.away_at = None
         self._try_held()
 
-    def _on_outcome(self, event: Outcome) -> None:
+    def _on_outcome(self, event: it.Outcome) -> None:
         flow = self._flows.get(event.id)
         if flow is None or event.attempt != flow.sent - 1:
             return
@@ -608,21 +626,25 @@
         result = event.result
         if backend is not None:
             self._take_report(backend, event.report)
-            if result is not Result.OK and result is not Result.CANCELLED and result is not Result.MOOT:
+            if (
+                result is not it.Result.OK
+                and result is not it.Result.CANCELLED
+                and result is not it.Result.MOOT
+            ):
                 self._failure(backend)
                 flow.paid |= backend.unproven
-                if result is Result.CONNECT_FAILED:
+                if result is it.Result.CONNECT_FAILED:
                     backend.away_at = self._now if backend.away_at is None else backend.away_at
                     if backend.cold_from is not None:
                         backend.credit = min(1.0, backend.credit + 1.0)  # it got none of the work
-                if result is Result.ERROR:
+                if result is it.Result.ERROR:
                     flow.blamed.append(backend)
             elif backend.trial:
                 backend.trial = False
                 self._schedule_trial(backend)
         if event.closed:
             del self._flows[flow.id]
-            if result is Result.OK:
+            if result is it.Result.OK:
                 self._ends = 1.0 + self._ends * 0.5 ** ((self._now - self._ends_at) / RATE_OVER)
                 self._ends_at = self._now
             return
@@ -633,7 +655,7 @@
         self._send(flow)
         self._try_held()
 
-    def _on_load(self, event: LoadNote) -> None:
+    def _on_load(self, event: it.LoadNote) -> None:
         flow = self._flows.get(event.id)
         if flow is None or flow.backend is None or event.load < 0:
             return
@@ -643,7 +665,7 @@
         self._load += load - flow.load
         flow.load = load
 
-    def _on_delay(self, event: DelayNote) -> None:
+    def _on_delay(self, event: it.DelayNote) -> None:
         backend = self._fleet.backends.get(event.server)
         if backend is None:
             return
@@ -693,7 +715,7 @@
         for flow in moved[: max(1, int(MOVE_PART * len(backend.flows) / max(1, late)))]:
             self._close(flow)
 
-    def _on_left(self, event: ClientLeft) -> None:
+    def _on_left(self, event: it.ClientLeft) -> None:
         flow = self._flows.pop(event.id, None)
         if flow is None:
             return
@@ -707,14 +729,14 @@
             backend.trial = False
             self._schedule_trial(backend)
         if self._settings.may_cancel and not flow.standing:
-            self._do(Cancel(flow.id, flow.sent - 1))
+            self._do(it.Cancel(flow.id, flow.sent - 1))
 
-    def _on_timer(self, event: Timer) -> None:
+    def _on_timer(self, event: it.Timer) -> None:
         self._timers.woken(event.token)
 
-    def _on_probe(self, event: ProbeResult) -> None:
+    def _on_probe(self, event: it.ProbeResult) -> None:
         backend = self._fleet.backends.get(event.server)
-        if backend is not None and event.result is Result.OK:
+        if backend is not None and event.result is it.Result.OK:
             self._take_report(backend, event.report)
 
     def _take_report(self, backend: Backend, report: list[float] | None) -> None:
@@ -744,9 +766,9 @@
                 break
             self._probe_credit -= 1.0
             backend.probed_at = self._now
-            self._do(Probe(backend.id))
+            self._do(it.Probe(backend.id))
 
-    def _on_peer(self, event: PeerMessage) -> None:
+    def _on_peer(self, event: it.PeerMessage) -> None:
         """Balancers need nothing of each other."""
 
     # Load of connections
@@ -758,7 +780,7 @@
             self._mean_load += 0.01 * (load - self._mean_load)
         return load / self._mean_load
 
-    def _learn_class(self, cls: RequestClass, load: float) -> None:
+    def _learn_class(self, cls: it.RequestClass, load: float) -> None:
         mean = self._class_load.get(cls.name, load)
         self._class_load[cls.name] = max(0.01, mean + 0.02 * (load - mean))
 
@@ -790,7 +812,7 @@
     def _trial(self, flow: Flow) -> Backend | None:
         """An unreachable server whose trial is due, if this request can carry it."""
         while self._due and self._due[0][0] <= self._now:
-            if flow.sent or flow.cls.effect is not Effect.SAFE or self._settings.max_attempts < 2:
+            if flow.sent or flow.cls.effect is not it.Effect.SAFE or self._settings.max_attempts < 2:
                 return None
             at, ident = heapq.heappop(self._due)
             backend = self._fleet.backends.get(ident)
@@ -925,6 +947,8 @@
 
     def _pick(self, flow: Flow) -> Backend | None:
         now = self._now
+        if flow.place is not None and not flow.sent:
+            return flow.place
         backend = self._trial(flow)
         if backend is not None:
             return backend
@@ -1019,13 +1043,13 @@
         if backend.cold_from is not None:
             backend.credit -= 1.0
         timeout = 0.0 if attempts == 1 else left / 2
-        if backend.unproven and flow.cls.effect is Effect.SAFE:
+        if backend.unproven and flow.cls.effect is it.Effect.SAFE:
             timeout = min(timeout or left, self._patience)
         self._occupy(flow, backend)
         flow.sent += 1
         flow.sent_at = now
         flow.tried.append(backend)
-        self._do(Attempt(flow.id, backend.id, timeout))
+        self._do(it.Attempt(flow.id, backend.id, timeout))
 
     def _holder(self, flow: Flow) -> Backend | None:
         """The server that still holds this open connection, where packets pass through and it is known.
@@ -1037,7 +1061,7 @@
             return None
         ident, at = self._holders.pop(flow.key, ("", 0.0))
         backend = self._fleet.backends.get(ident)
-        if backend is None or backend.listed is ServerState.GONE or self._now > at + self._settings.park:
+        if backend is None or backend.listed is it.ServerState.GONE or self._now > at + self._settings.park:
             return None
         return backend
 
@@ -1051,7 +1075,7 @@
             return True
         if self._proving_most and self._proving >= self._proving_most:
             return False
-        if not flow.paid and flow.cls.effect is Effect.SAFE:
+        if not flow.paid and flow.cls.effect is it.Effect.SAFE:
             return True
         return not any(not b.unproven and not b.down for b in self._fleet.order)
 
@@ -1087,7 +1111,7 @@
         room = self._limit if flow.cls is not self._dearest() else self._limit * LIMIT_SPARE
         return self._load + flow.load > room
 
-    def _dearest(self) -> RequestClass:
+    def _dearest(self) -> it.RequestClass:
         """The class that is worth most for its load: it may pass the limit and displace others."""
         return max(self._classes.values(), key=self._density)
 
@@ -1113,7 +1137,7 @@
         share = self._strained_share()
         if share > STRAINED:
             self._limit = min(self._limit, self._load) * (1.0 - LIMIT_CUT * share)
-            self._do(Log(f"own load {self._load:.1f} limited to {self._limit:.1f}, strained {share:.2f}"))
+            self._do(it.Log(f"own load {self._load:.1f} limited to {self._limit:.1f}, strained {share:.2f}"))
             self._shed()
         elif self._limit < float("inf"):
             self._limit *= LIMIT_GROWTH
@@ -1135,9 +1159,9 @@
     def _close(self, flow: Flow) -> None:
         self._release(flow)
         del self._flows[flow.id]
-        self._do(Move(flow.id))
+        self._do(it.Move(flow.id))
 
-    def _density(self, cls: RequestClass) -> float:
+    def _density(self, cls: it.RequestClass) -> float:
         """Worth for each unit of load."""
         if self._settings.worth_by_work:
             return cls.value
@@ -1183,9 +1207,9 @@
         del self._flows[flow.id]
         if flow.may_be_refused():
             most = self._settings.max_retry_after
-            self._do(Refuse(flow.id, most * (0.5 + 0.5 * self._rng.random())))
+            self._do(it.Refuse(flow.id, most * (0.5 + 0.5 * self._rng.random())))
         else:
-            self._do(Fail(flow.id))
+            self._do(it.Fail(flow.id))
 
     def _occupy(self, flow: Flow, backend: Backend) -> None:
         flow.backend = backend
--- a/puffinford/cli/__init__.py
+++ b/puffinford/cli/__init__.py
@@ -11,9 +11,10 @@
 import click
 
 from puffinford.cli.tables import table
+from puffinford.config import BadConfig, load
 from puffinford.core.clock import Clock
 from puffinford.machines import inventory
-from puffinford.operators import DEFAULT_FILE, BadSettings, load_settings
+from puffinford.operators import DEFAULT_FILE, BadSettings, Loaded, load_settings
 from puffinford.start import serve_program
 
 VERSION = "0.2.0"
@@ -83,13 +84,35 @@
 
 @puffinford.command()
 @settings_option
+@click.option(
+    "--config", type=FILE, envvar="EDGE_CONFIG", metavar="FILE", help="The platform's file [EDGE_CONFIG]."
+)
+@click.option("--inventory", "inventory_file", type=FILE, metavar="FILE", help="Machines from CSV or YAML.")
 @json_option
-def check(settings: Path, as_json: bool) -> None:
-    """Check the operators' file and all it includes; say what would be in force, and from where."""
+def check(settings: Path, config: Path | None, inventory_file: Path | None, as_json: bool) -> None:
+    """Check all files; say what of the operators' would be in force, and from where.
+
+    The platform's file and an inventory are checked where they are named.
+    """
+    wrong: list[str] = []
+    loaded = Loaded()
     try:
         loaded = load_settings(settings)
     except BadSettings as exc:
-        return fail(str(exc))
+        wrong += exc.errors
+    clock = Clock()
+    if config is not None:
+        try:
+            load({"EDGE_CONFIG": str(config)}, clock.from_unix, inventory_file, DEFAULT_FILE)
+        except BadConfig as exc:
+            wrong += [text for text in str(exc).splitlines() if text not in wrong]
+    if inventory_file is not None:
+        try:
+            wrong += inventory.load(inventory_file, clock.from_unix)[1]
+        except inventory.BadInventory as exc:
+            wrong.append(str(exc))
+    if wrong:
+        return fail("\n".join(wrong))
     rows = loaded.table()
     if as_json:
         keys = ("section", "keyword", "value", "from", "meaning")
@@ -100,9 +123,11 @@
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run a command; its exit code."""
+    from puffinford.cli.rebalance import rebalance
     from puffinford.cli.state import state
 
     puffinford.add_command(state)
+    puffinford.add_command(rebalance)
     try:
         puffinford.main(argv, prog_name="puffinford")
     except SystemExit as exc:
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -25,6 +25,7 @@
     ClaimEnded,
     Ended,
     Failed,
+    JobWatcher,
     Kind,
     Leg,
     Machine,
@@ -130,6 +131,7 @@
         self._inbox: list[it.Event] = []
         self._telling = False
         self._source: MachineSource | None = None
+        self.watcher: JobWatcher | None = None
         self._tasks: anyio.abc.TaskGroup
         self._leaving = False
 
@@ -207,6 +209,32 @@
         if health:
             self._tell(it.Learned(health))
 
+    # What stands, for those who plan for it
+
+    def survey(self) -> list[it.Survey]:
+        """Every listed server as the module sees it."""
+        return self._balancer.survey(self._clock.now())
+
+    def standing(self, server: str, most: int) -> list[tuple[it.Standing, bool]]:
+        """Some connections that stand at a server, each with whether all its lines are answered."""
+        now = self._clock.now()
+        told = []
+        for flow in self._balancer.standing(server, most):
+            job = self._jobs.get(flow.id)
+            if job is not None and job.standing and job.claim is not None:
+                told.append((flow, job.claim.unanswered.age(now) == 0.0))
+        return told
+
+    def advise(self, ident: str) -> str | None:
+        """Where the module would place a standing connection now."""
+        return self._balancer.advise(ident, self._clock.now())
+
+    def relocate(self, ident: str, server: str, hold: float) -> bool:
+        """Move a connection, with a place kept for so many ms; tells whether it no longer stands."""
+        self._tell(it.Relocate(ident, server, hold))
+        job = self._jobs.get(ident)
+        return job is None or job.ending is not None
+
     def cordon(self, servers: frozenset[str]) -> None:
         """These servers are out, and no others, whatever the machine list says."""
         self.cordoned = servers
@@ -391,12 +419,16 @@
         job.ending = ending
         job.done.set()
         latency = self._clock.now() - claim.started
-        self._tell(it.Outcome(job.id, claim.number, claim.machine.server.id, result, latency, True))
+        server = claim.machine.server.id
+        if self.watcher is not None:
+            cut = ending.move or result is it.Result.RESET
+            self.watcher.ended(_number(job.opening.key), job.opening.cls, server, latency, cut=cut)
+        self._tell(it.Outcome(job.id, claim.number, server, result, latency, True))
         log.info(
             "end",
             extra={
                 "job": job.id,
-                "server": claim.machine.server.id,
+                "server": server,
                 "result": result.value,
                 "moved": ending.move,
                 "stood_ms": round(latency),
@@ -412,6 +444,9 @@
             if server is not None:
                 tasks.start_soon(server.abort if ending.broken or ending.answer else server.end)
             if ending.answer is not None:
+                if self.watcher is not None:
+                    failed = not isinstance(ending.answer, Busy)
+                    self.watcher.turned_away(_number(job.opening.key), job.opening.cls, failed=failed)
                 await self._refuse(submitter, ending.answer, job.opening.cls)
                 return
             if ending.broken:
@@ -583,6 +618,9 @@
             except Broken:
                 return  # the listener hears it too
             self.figures.add(job.opening.cls, Count.SERVED)
+            if self.watcher is not None:
+                set_up = self._clock.now() - (job.deadline - job.opening.wait)
+                self.watcher.came_up(_number(job.opening.key), job.opening.cls, ident, set_up)
             while True:
                 message = await leg.receive()
                 if message.kind is Kind.NOTE:
@@ -620,7 +658,7 @@
             self._tell(it.LoadNote(job.id, ident, value))
         elif self._settings.tells_delay:
             log.info("slow", extra={"server": ident, "ms": round(value, 1), "by": "note"})
-            self._tell(it.DelayNote(job.id, ident, value))
+            self._tell_delay(job.id, ident, value)
 
     # Standing connections
 
@@ -651,7 +689,12 @@
         for ident, delay in self._meter.round(waiting):
             if ident in carriers:
                 log.info("slow", extra={"server": ident, "ms": round(delay, 1), "by": "measure"})
-                self._tell(it.DelayNote(carriers[ident], ident, delay))
+                self._tell_delay(carriers[ident], ident, delay)
+
+    def _tell_delay(self, ident: str, server: str, delay: float) -> None:
+        if self.watcher is not None:
+            self.watcher.late(server, delay)
+        self._tell(it.DelayNote(ident, server, delay))
 
     def _hushed(self, standing: list[tuple[Job, Claim]], now: float) -> set[str]:
         """The servers that have vanished, as their connections tell together.
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -193,6 +193,22 @@
     async def probe(self, machine: Machine, wait: float) -> Result: ...
 
 
+class JobWatcher(Protocol):
+    """Hears what becomes of jobs. What it does takes no time and raises nothing."""
+
+    def came_up(self, key: int, cls: str, server: str, set_up: float) -> None:
+        """A connection stands, `set_up` ms after its opening came."""
+
+    def turned_away(self, key: int, cls: str, *, failed: bool) -> None:
+        """A job of a known class got a requeue notice, or (`failed`) any other answer."""
+
+    def ended(self, key: int, cls: str, server: str, stood: float, *, cut: bool) -> None:
+        """A connection that stood for so many ms ended; `cut` where neither side wanted it."""
+
+    def late(self, server: str, delay: float) -> None:
+        """Messages at a server take so many ms."""
+
+
 class MachineSource(Protocol):
     """Where machine lists come from; the exchange hears of each through `take_list`."""
 
--- a/puffinford/interface.py
+++ b/puffinford/interface.py
@@ -217,6 +217,18 @@
     entries: list[Health] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Relocate:
+    """Move a standing connection, and keep a place for its client at `server` for `hold` ms.
+
+    Nothing happens where the connection no longer stands or the server cannot take it.
+    """
+
+    id: str
+    server: str
+    hold: float
+
+
 @dataclass(slots=True)
 class Request:
     """A client wants a connection; it is owed one final answer within `left`."""
@@ -309,6 +321,7 @@
     | Cordoned
     | Unproven
     | Learned
+    | Relocate
     | Request
     | Inherited
     | Established
@@ -321,6 +334,34 @@
     | PeerMessage
 )
 
+# Queries
+
+
+@dataclass(frozen=True, slots=True)
+class Survey:
+    """One server as the module sees it; loads are own ones, in mean connections."""
+
+    server: str
+    load: float  # with what groups cost
+    capacity: float  # by size and warmth; 0 where it takes nothing new
+    usable: bool  # reachable, not slow, and with room: a place to move to
+    strained: bool  # its messages are late, or it is unreachable
+    flows: int
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """One standing connection as the module sees it."""
+
+    id: str
+    key: int
+    cls: str
+    load: float
+    group: int | None
+    placed: float  # when, in ms of the host's time
+    came_back: bool  # its client had been moved or cut off before
+
+
 # Actions
 
 
--- a/puffinford/management/calls.py
+++ b/puffinford/management/calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
 from puffinford.core.exchange import Exchange
@@ -13,10 +13,23 @@
 log = logging.getLogger(__name__)
 
 
+Extra = Callable[[Call], Reply]
+
+
 class Calls:
-    """`lacking` names what this process still lacks to serve; it is empty once nothing does."""
+    """`lacking` names what this process still lacks to serve; it is empty once nothing does.
+
+    `extras` answer what stands under a name of their own, /admin/NAME.
+    """
 
-    def __init__(self, exchange: Exchange, cordons: Cordons, lacking: Callable[[], str]) -> None:
+    def __init__(
+        self,
+        exchange: Exchange,
+        cordons: Cordons,
+        lacking: Callable[[], str],
+        extras: Mapping[str, Extra] | None = None,
+    ) -> None:
+        self._extras = extras or {}
         self._exchange = exchange
         self._cordons = cordons
         self._lacking = lacking
@@ -30,6 +43,8 @@
                 method, reply = "GET", self._stats
             case ("admin", "cordon" | "uncordon" as what, ident):
                 method, reply = "POST", partial(self._cordon, ident, what == "cordon")
+            case ("admin", str(name), *_) if name in self._extras:
+                return self._extras[name](call)
             case _:
                 return Reply(404, "no such path")
         if call.method != method:
--- a/puffinford/operators/__init__.py
+++ b/puffinford/operators/__init__.py
@@ -2,7 +2,12 @@
 
 from puffinford.operators.lines import BadSettings
 from puffinford.operators.loading import DEFAULT_FILE, Loaded, load_settings
-from puffinford.operators.schema import ChannelSettings, OperatorSettings, StateSettings
+from puffinford.operators.schema import (
+    ChannelSettings,
+    OperatorSettings,
+    RebalanceSettings,
+    StateSettings,
+)
 
 __all__ = [
     "DEFAULT_FILE",
@@ -10,6 +15,7 @@
     "ChannelSettings",
     "Loaded",
     "OperatorSettings",
+    "RebalanceSettings",
     "StateSettings",
     "load_settings",
 ]
--- a/puffinford/operators/loading.py
+++ b/puffinford/operators/loading.py
@@ -109,7 +109,13 @@
 
 def _check_together(checker: _Checker) -> None:
     """What no value can be checked for alone."""
-    state = SECTIONS["state"](**checker.values["state"])
-    if state.fresh >= state.distrust:
-        place = checker.origins.get(("state", "distrust")) or checker.origins["state", "fresh"]
-        checker.errors.append(f"{place}: distrust must be longer than fresh")
+    for section, lower, upper, what in (
+        ("state", "fresh", "distrust", "longer"),
+        ("rebalance", "stop-at", "start-at", "more"),
+        ("rebalance", "least-rate", "start-rate", "more"),
+        ("rebalance", "start-rate", "most-rate", "more"),
+    ):
+        held = SECTIONS[section](**checker.values[section])
+        if getattr(held, lower.replace("-", "_")) >= getattr(held, upper.replace("-", "_")):
+            place = checker.origins.get((section, upper)) or checker.origins[section, lower]
+            checker.errors.append(f"{place}: {upper} must be {what} than {lower}")
--- a/puffinford/operators/schema.py
+++ b/puffinford/operators/schema.py
@@ -35,6 +35,14 @@
     return setting(default, units.duration(low, high), doc, units.show_duration)
 
 
+def _part(default: float, low: float, high: float, doc: str) -> Any:
+    return setting(default, units.share(low, high), doc, units.show_share)
+
+
+def _rate(default: float, doc: str) -> Any:
+    return setting(default, units.rate(0.001, 1_000.0), doc, units.show_rate)
+
+
 @dataclass(frozen=True)
 class StateSettings:
     """`section state`: what outlives the process. Durations in ms, sizes in bytes."""
@@ -54,6 +62,25 @@
     forget_after: float = _time(DAY, MIN, 365 * DAY, "servers that left are remembered for so long")
 
 
+@dataclass(frozen=True)
+class RebalanceSettings:
+    """`section rebalance`: moving standing connections. Ratios to the mean, rates in moves a second, times in
+    ms.
+    """
+
+    enabled: bool = setting(False, units.flag, "whether standing connections are moved towards balance")
+    start_at: float = _part(1.25, 1.01, 10.0, "fullest server over the mean, at which moving starts")
+    stop_at: float = _part(1.10, 1.0, 10.0, "and at which it stops")
+    settle: float = _time(3_000.0, 0.0, HOUR, "out of balance for so long before it starts")
+    rest: float = _time(MIN, 0.0, DAY, "a client that was moved is left alone for so long")
+    hold: float = _time(2_500.0, 100.0, MIN, "a place is kept so long for a moved client's return")
+    in_time: float = _time(1_000.0, 10.0, MIN, "a return that takes longer slows the pace")
+    start_rate: float = _rate(1.0, "moves a second to begin with")
+    least_rate: float = _rate(0.2, "moves a second, whatever the signals")
+    most_rate: float = _rate(10.0, "moves a second at most")
+    cool: float = _time(5_000.0, 100.0, HOUR, "no growth for so long after a bad signal")
+
+
 @dataclass(frozen=True)
 class ChannelSettings:
     """`section channels`: the channel front."""
@@ -67,10 +94,15 @@
     """All sections."""
 
     state: StateSettings = StateSettings()
+    rebalance: RebalanceSettings = RebalanceSettings()
     channels: ChannelSettings = ChannelSettings()
 
 
-SECTIONS: dict[str, type[Any]] = {"state": StateSettings, "channels": ChannelSettings}
+SECTIONS: dict[str, type[Any]] = {
+    "state": StateSettings,
+    "rebalance": RebalanceSettings,
+    "channels": ChannelSettings,
+}
 
 
 def keywords(section: str) -> dict[str, Any]:
--- a/puffinford/operators/units.py
+++ b/puffinford/operators/units.py
@@ -74,12 +74,37 @@
 
     def read(word: str) -> float:
         part = _amount(word, {"%": 0.01}, "share")
-        _within(part, low, high, lambda value: f"{value * 100:g}%", word)
+        _within(part, low, high, show_share, word)
         return part
 
     return read
 
 
+def rate(low: float, high: float) -> Reader:
+    """Times a second as a float, `low` to `high`, from a number with /s, /min or /h."""
+
+    def read(word: str) -> float:
+        number, sign, unit = word.partition("/")
+        seconds = {"s": 1.0, "min": 60.0, "h": 3_600.0}.get(unit)
+        if not sign or seconds is None:
+            raise ValueError(f"{word!r} is no rate: a number and one of /s /min /h")
+        value = _amount(number, {"": 1.0}, "rate") / seconds
+        _within(value, low, high, show_rate, word)
+        return value
+
+    return read
+
+
+def show_rate(a_second: float) -> str:
+    """A rate as the file would have it."""
+    return f"{a_second:g}/s" if a_second >= 0.1 else f"{a_second * 60:g}/min"
+
+
+def show_share(part: float) -> str:
+    """A part of 1 in %."""
+    return f"{part * 100:g}%"
+
+
 def count(low: int, high: int) -> Reader:
     """A whole number without a unit, `low` to `high`."""
 
--- /dev/null
+++ b/puffinford/rebalance/service.py
@@ -0,0 +1,217 @@
+"""The shell of rebalancing: rounds by the clock, the exchange's word, the log, operators' calls."""
+
+from __future__ import annotations
+
+import json
+import logging
+import random
+from dataclasses import replace
+from typing import Any
+
+from puffinford.core.clock import Clock
+from puffinford.core.exchange import Exchange
+from puffinford.interface import Settings
+from puffinford.management.http import Call, Reply
+from puffinford.operators import RebalanceSettings, units
+from puffinford.rebalance.pace import PaceFigures
+from puffinford.rebalance.planner import Candidate, Figures, Place, Planned, Planner, Why
+
+log = logging.getLogger(__name__)
+
+ROUND = 200.0  # ms between looks
+IDLE_ROUND = 1_000.0  # the same while nothing is out of balance
+FEW_SOURCES = 4  # servers whose connections are looked at in a round
+
+
+def figures(told: RebalanceSettings) -> Figures:
+    """The operators' figures as the planner has them."""
+    pace = PaceFigures(told.start_rate, told.least_rate, told.most_rate, cool=told.cool)
+    return Figures(
+        enabled=told.enabled,
+        start_at=told.start_at,
+        stop_at=told.stop_at,
+        settle=told.settle,
+        rest=told.rest,
+        hold=told.hold,
+        in_time=told.in_time,
+        pace=pace,
+    )
+
+
+class Rebalancer:
+    """One balancer's. It is the exchange's `watcher`; `run` moves until cancelled."""
+
+    def __init__(
+        self, figures: Figures, settings: Settings, exchange: Exchange, clock: Clock, rng: random.Random
+    ) -> None:
+        self.planner = Planner(figures, rng, settings.balancers)
+        self._exchange = exchange
+        self._clock = clock
+        self._late_from = 0.0
+        self._worth: dict[str, float] = {}
+        self._told: Why | None = None
+        self.take_settings(settings)
+
+    def take_settings(self, settings: Settings) -> None:
+        """The classes and their worth, at the start and after a reload."""
+        self._worth = {cls.name: cls.value for cls in settings.classes}
+        self.planner.pace.returns = settings.balancers
+        aims = [cls.message_aim for cls in settings.classes if cls.message_aim > 0]
+        self._late_from = min(aims, default=float("inf"))
+
+    # The exchange's word
+
+    def came_up(self, key: int, cls: str, server: str, set_up: float) -> None:
+        """A connection stands: perhaps that of a client that was moved."""
+        signal = self.planner.returned(self._clock.now(), key, server, set_up)
+        if signal is not None:
+            self._tell_signal(signal.value, server=server, ms=round(set_up))
+
+    def turned_away(self, key: int, cls: str, *, failed: bool) -> None:
+        """A client was turned away: perhaps one that was moved."""
+        signal = self.planner.turned_away(self._clock.now(), key, failed=failed)
+        if signal is not None:
+            self._tell_signal(signal.value)
+
+    def ended(self, key: int, cls: str, server: str, stood: float, *, cut: bool) -> None:
+        """A connection ended: what lives are judged by."""
+        self.planner.ended(cls, stood, cut=cut)
+
+    def late(self, server: str, delay: float) -> None:
+        """Messages are late there: a signal where it took moved clients."""
+        if delay > self._late_from:
+            signal = self.planner.late(self._clock.now(), server)
+            if signal is not None:
+                self._tell_signal(signal.value, server=server, ms=round(delay))
+
+    def _tell_signal(self, signal: str, **more: object) -> None:
+        rate = round(self.planner.pace.rate, 2)
+        log.info("rebalance signal", extra={"signal": signal, "rate": rate, **more})
+
+    # Rounds
+
+    async def run(self) -> None:
+        """Look and move, until cancelled."""
+        while True:
+            await self._clock.sleep(ROUND if self.planner.moving else IDLE_ROUND)
+            self.round()
+
+    def round(self) -> int:
+        """One look; the moves made."""
+        now = self._clock.now()
+        planner = self.planner
+        planner.lost_sight(now)
+        places = [
+            Place(s.server, s.load, s.capacity, s.usable, s.strained, s.flows)
+            for s in self._exchange.survey()
+        ]
+        was = planner.moving
+        why = planner.observe(now, places)
+        if planner.moving != was or (why is Why.STRAINED and self._told is not why):
+            event = (
+                "rebalance begins" if planner.moving and not was else "rebalance ends" if was else "rebalance"
+            )
+            log.info(event, extra={"ratio": round(planner.ratio, 2), "why": planner.why.value})
+        self._told = why
+        made = 0
+        while why is None and planner.pace.due(now) and self._one(now):
+            made += 1
+        return made
+
+    def _one(self, now: float) -> bool:
+        """Make one move, if there is one to make."""
+        for source in self.planner.sources()[:FEW_SOURCES]:
+            sample = [
+                Candidate(
+                    flow.id,
+                    flow.key,
+                    source.id,
+                    flow.cls,
+                    self._worth.get(flow.cls, 1.0),
+                    flow.load,
+                    now - flow.placed,
+                    flow.group,
+                    quiet,
+                    flow.came_back,
+                )
+                for flow, quiet in self._exchange.standing(source.id, self.planner.figures.sample)
+            ]
+            planned = self.planner.choose(now, sample, self._exchange.advise)
+            if planned is not None:
+                self._move(planned)
+                return True
+        return False
+
+    def _move(self, planned: Planned) -> None:
+        moved = self._exchange.relocate(planned.job, planned.target, self.planner.figures.hold)
+        log.info(
+            "rebalance move",
+            extra={
+                "job": planned.job,
+                "server": planned.source,
+                "to": planned.target,
+                "gain": round(planned.gain, 2),
+                "moved": moved,
+            },
+        )
+
+    # Operators
+
+    def answer(self, call: Call) -> Reply:
+        """The calls under /admin/rebalance."""
+        match call.path[2:]:
+            case ():
+                if call.method != "GET":
+                    return Reply(405, "GET is the method here", allow="GET")
+                return Reply(200, json.dumps(self.told()))
+            case ("start" | "pause" as what,):
+                wanted = {"paused": what == "pause"}
+            case ("limit", text):
+                try:
+                    wanted = {"limit": units.rate(0.001, 1_000.0)(text.replace("-", "/"))}
+                except ValueError as exc:
+                    return Reply(400, str(exc))
+            case _:
+                return Reply(404, "no such path")
+        if call.method != "POST":
+            return Reply(405, "POST is the method here", allow="POST")
+        if not self.planner.figures.enabled:
+            return Reply(409, "rebalancing is switched off: see section rebalance of the operators' file")
+        return self._command(**wanted)
+
+    def _command(self, paused: bool | None = None, limit: float | None = None) -> Reply:
+        planner = self.planner
+        if paused is not None:
+            planner.paused = paused
+        if limit is not None:
+            pace = planner.figures.pace
+            pace = replace(pace, most=limit, start=min(pace.start, limit), least=min(pace.least, limit))
+            planner.configure(replace(planner.figures, pace=pace))
+        state = {"paused": planner.paused, "most": planner.figures.pace.most}
+        log.info("rebalance command", extra=state)
+        return Reply(200, json.dumps(state))
+
+    def told(self) -> dict[str, Any]:
+        """Plan, progress, and why what is not moved is not."""
+        planner = self.planner
+        return {
+            "state": "moving" if planner.moving else "resting",
+            "why": planner.why.value,
+            "ratio": round(planner.ratio, 3),
+            "rate": round(planner.pace.rate, 3),
+            "moves": planner.moves,
+            "landed": dict(planner.landed),
+            "elsewhere": planner.elsewhere,
+            "signals": {signal.value: count for signal, count in planner.pace.counts.items()},
+            "left_out": {why.value: count for why, count in planner.left_out.items()},
+            "servers": [
+                {
+                    "server": s.server,
+                    "load": round(s.load, 2),
+                    "capacity": round(s.capacity, 3),
+                    "usable": s.usable,
+                    "connections": s.flows,
+                }
+                for s in self._exchange.survey()
+            ],
+        }
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -40,6 +40,7 @@
 from puffinford.management.cordons import Cordons
 from puffinford.management.http import HttpCalls
 from puffinford.management.versions import Versions
+from puffinford.rebalance.service import Rebalancer, figures
 from puffinford.state.keeper import Keeper, store_file
 from puffinford.state.recovery import ListGuard
 
@@ -106,7 +107,15 @@
         callers = Door(clock, Budget(MGMT_MOST + 1, 0), part=1)
         path = state_path(config.state, config.name)
         self._cordons = Cordons(path, self._exchange.cordon)
-        calls = HttpCalls(Calls(self._exchange, self._cordons, self._lacking).answer, callers)
+        self._rebalancer = Rebalancer(
+            figures(config.operators.rebalance),
+            config.settings,
+            self._exchange,
+            clock,
+            random.Random(config.seed ^ 0x4EBA),
+        )
+        extras = {"rebalance": self._rebalancer.answer}
+        calls = HttpCalls(Calls(self._exchange, self._cordons, self._lacking, extras).answer, callers)
         self._mgmt = Front("management", calls.handle, callers, MGMT_TURN)
         self._versions = Versions(path)
         for budget in (self._budget, callers.budget):
@@ -146,12 +155,19 @@
                 tasks.start_soon(self._exchange.run, self._source, self._restored)
                 tasks.start_soon(self._source.run)
                 tasks.start_soon(self._keeper.run)
+                if self._config.operators.rebalance.enabled:
+                    self._start_rebalancing()
                 tasks.start_soon(self._watch_versions)
                 self._listen(listeners)
                 await self._obey(signals)
                 tasks.cancel_scope.cancel()
         log.info("stopped")
 
+    def _start_rebalancing(self) -> None:
+        if self._exchange.watcher is None:
+            self._exchange.watcher = self._rebalancer
+            self._tasks.start_soon(self._rebalancer.run)
+
     async def _obey(self, signals: AsyncIterator[signal.Signals]) -> None:
         """Take signals until one ends the process. A reload may come during a drain, and before one."""
         async for signum in signals:
@@ -168,6 +184,7 @@
         longest = min(DRAIN_MOST, max(cls.deadline for cls in self._config.settings.classes))
         self._versions.look()
         settle = 0.0 if self._versions.succeeded else DRAIN_FROM
+        self._rebalancer.planner.paused = True  # everybody is moved now
         if self._versions.succeeded:
             self._keeper.let_go()
         await self._exchange.drain(settle, longest + KILL_AFTER - settle - DRAIN_SPARE)
@@ -281,6 +298,11 @@
         old, self._config = self._config, config
         if config.operators.state != old.operators.state:
             log.warning("state settings", extra={"in_force": "at the next start"})
+        self._rebalancer.take_settings(config.settings)
+        if config.operators.rebalance != old.operators.rebalance:
+            self._rebalancer.planner.configure(figures(config.operators.rebalance))
+            if config.operators.rebalance.enabled:
+                self._start_rebalancing()
         self._budget.limit = config.limits.sockets
         self._exchange.configure(config.settings)
         self._line_servers.connect_timeout = config.settings.connect_timeout
--- a/puffinford/standins/clients.py
+++ b/puffinford/standins/clients.py
@@ -135,13 +135,16 @@
     async def _stay(self, lines: Lines, kind: Kind, job: str, server: str, life: float) -> str:
         """A connection that stands: a line each `every` ms, until its life is over or it ends."""
         ended: list[bytes] = []
+        sent: list[float] = []
         self.standing += 1
         try:
             async with anyio.create_task_group() as tasks:
 
                 async def hear() -> None:
                     while (line := await lines.next()) not in (Lines.FIN, Lines.RST, b"MOVE"):
-                        pass
+                        if sent and not line.startswith(b"LOAD "):
+                            ms = self._clock.now() - sent.pop(0)
+                            self._trace.add(What.ANSWERED, cls=kind.name, server=server, ms=ms)
                     ended.append(line)
                     tasks.cancel_scope.cancel()
 
@@ -149,6 +152,7 @@
                 with self._clock.limit(life):
                     while True:
                         await self._clock.sleep(kind.every * self._rng.uniform(0.8, 1.2))
+                        sent.append(self._clock.now())
                         if not await lines.say(b"line of " + job.encode()):
                             await anyio.sleep_forever()
                 tasks.cancel_scope.cancel()
--- a/puffinford/standins/trace.py
+++ b/puffinford/standins/trace.py
@@ -18,6 +18,7 @@
     LOST = "lost"  # ... or none: the connection ended first, or its time was up
     MOVED = "moved"  # a standing client was sent away in order
     CUT = "cut"  # ... or its connection ended without a word
+    ANSWERED = "answered"  # a line of a standing client came back
     DONE = "done"  # ... or it ended it itself
     CLAIM = "claim"  # an opening has come to a server
     CLAIM_END = "claim end"  # its connection has ended
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -31,7 +31,7 @@
 from puffinford.fronts.lines.submitter import LineSubmitters
 from puffinford.fronts.sockets import MGMT_MOST, Budget, Door, Wire, accept_all, bind
 from puffinford.interface import Effect, RequestClass, Server, ServerState, Settings
-from puffinford.management.calls import Calls
+from puffinford.management.calls import Calls, Extra
 from puffinford.management.cordons import Cordons
 from puffinford.management.http import HttpCalls
 
@@ -109,9 +109,11 @@
             if windows or not isinstance(message, codec.WindowAdjust):
                 return message
 
-    async def open(self, number: int, job: str, window: int = 1_000, cls: str = "price-lookup") -> None:
+    async def open(
+        self, number: int, job: str, window: int = 1_000, cls: str = "price-lookup", key: str = "7f3a"
+    ) -> None:
         figures = (("c", cls), ("t", "a"), ("d", "2000"), ("g", "5c"), ("h", "1.5"))
-        extra = encode_opening(Opening.from_figures(job, "7f3a", figures), 2_000.0)
+        extra = encode_opening(Opening.from_figures(job, key, figures), 2_000.0)
         await self.say(codec.ChannelOpen(codec.JOB, number, window, 32_768, extra))
 
     async def confirm(self, window: int = 1_000) -> codec.ChannelOpen:
@@ -163,10 +165,15 @@
         )
         return int(listener.getsockname()[1])
 
-    def management(self, lacking: Callable[[], str] = lambda: "", state: Path | None = None) -> int:
+    def management(
+        self,
+        lacking: Callable[[], str] = lambda: "",
+        state: Path | None = None,
+        extras: Mapping[str, Extra] | None = None,
+    ) -> int:
         """Where the second address listens."""
         door = Door(self.clock, Budget(MGMT_MOST + 1, 0), part=1)
-        calls = Calls(self.exchange, Cordons(state, self.exchange.cordon), lacking)
+        calls = Calls(self.exchange, Cordons(state, self.exchange.cordon), lacking, extras)
         return self.front(HttpCalls(calls.answer, door).handle, door)
 
     async def server(
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -147,6 +147,12 @@
     assert {"section": "state", "keyword": "size", "value": "8MiB"}.items() <= json.loads(
         capsys.readouterr().out
     )[2].items()
+    (tmp_path / "c.json").write_text('{"listen": "nowhere"}')
+    (tmp_path / "i.csv").write_text("id,addr\ns-1,here\n")
+    more = ["--config", str(tmp_path / "c.json"), "--inventory", str(tmp_path / "i.csv")]
+    assert main(["check", "--settings", str(path), *more]) == 2
+    told = capsys.readouterr().err
+    assert "listen: 'nowhere' is no IP:PORT" in told and "i.csv:2: " in told
     path.write_text("section state\n size 1\n fresh 2\n")
     assert main(["check", "--settings", str(path)]) == 2
     assert len(capsys.readouterr().err.splitlines()) == 2
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,291 @@
+"""The rebalancing planner alone: its rules as properties, its order and its pace as stories."""
+
+from __future__ import annotations
+
+import random
+from zlib import crc32
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from puffinford.rebalance.lives import Lives
+from puffinford.rebalance.pace import Pace, PaceFigures, Signal
+from puffinford.rebalance.planner import Candidate, Figures, Place, Planner, Why
+
+FIGURES = Figures(settle=0.0, pace=PaceFigures(start=100.0, most=100.0, least=0.5))
+
+
+def places(**loads: float) -> list[Place]:
+    return [Place(ident, load, 1.0, flows=int(load)) for ident, load in loads.items()]
+
+
+def candidate(job: str, server: str = "a", **more: object) -> Candidate:
+    base: dict[str, object] = {"cls": "x", "worth": 1.0, "load": 1.0, "age": 10_000.0}
+    return Candidate(job, crc32(job.encode()), server, **(base | more))  # type: ignore[arg-type]
+
+
+def planner(figures: Figures = FIGURES) -> Planner:
+    return Planner(figures, random.Random(1))
+
+
+def test_moving_starts_over_the_band_and_stops_inside_it() -> None:
+    made = planner(Figures(settle=1_000.0, pace=FIGURES.pace))
+    assert made.observe(0.0, places(a=12, b=10)) is Why.BALANCED
+    assert made.observe(1.0, places(a=16, b=8)) is Why.SETTLING
+    assert made.observe(1_001.0, places(a=16, b=8)) is None
+    assert made.observe(2_000.0, places(a=13.5, b=10.5)) is None, "inside the band it goes on"
+    assert made.observe(3_000.0, places(a=12.5, b=11.5)) is Why.BALANCED
+    assert made.observe(4_000.0, places(a=14, b=10)) is Why.BALANCED, "and does not start again there"
+
+
+@pytest.mark.parametrize(
+    ("seen", "why"),
+    [
+        (places(a=3, b=1), Why.FEW),
+        (places(a=30), Why.FEW),
+        (
+            [Place("a", 20, 1.0, strained=True, flows=9), Place("b", 2, 1.0, strained=True, flows=9)],
+            Why.STRAINED,
+        ),
+    ],
+)
+def test_where_there_is_nothing_to_judge_by_nothing_moves(seen: list[Place], why: Why) -> None:
+    assert planner().observe(0.0, seen) is why
+
+
+def test_balance_is_by_capacity_not_by_count() -> None:
+    made = planner()
+    assert made.observe(0.0, [Place("a", 30, 3.0, flows=30), Place("b", 10, 1.0, flows=10)]) is Why.BALANCED
+    assert made.observe(1.0, [Place("a", 20, 0.5, flows=20), Place("b", 20, 2.0, flows=20)]) is None
+    assert [place.id for place in made.sources()] == ["a"]
+
+
+@pytest.mark.parametrize(
+    ("spared", "why"),
+    [
+        (candidate("j", quiet=False), Why.BUSY),
+        (candidate("j", age=100.0), Why.YOUNG),
+        (candidate("j", cls="short", age=60_000.0), Why.ENDING),
+    ],
+)
+def test_clients_that_matter_now_are_left_alone(spared: Candidate, why: Why) -> None:
+    made = planner()
+    for n in range(40):
+        made.ended("short", 3_000.0 + n, cut=False)
+    assert made.observe(0.0, places(a=30, b=5)) is None
+    assert made.choose(0.0, [spared], lambda _: "b") is None
+    assert made.left_out[why] == 1
+    chosen = made.choose(0.0, [candidate("i"), spared], lambda _: "b")
+    assert chosen is not None and chosen.job == "i"
+
+
+def test_the_least_worth_for_the_load_goes_first_and_a_group_together() -> None:
+    made = planner()
+    made.observe(0.0, places(a=40, b=5))
+    sample = [
+        candidate("dear", worth=2.0),
+        candidate("light", load=0.3),
+        candidate("heavy", load=2.0, group=7),
+        candidate("same group", group=7, worth=2.0),
+    ]
+    order = []
+    for _ in range(4):
+        chosen = made.choose(0.0, [c for c in sample if c.job not in order], lambda _: "b")
+        assert chosen is not None
+        order.append(chosen.job)
+    assert order == ["heavy", "same group", "dear", "light"]
+
+
+def test_nothing_moves_to_where_it_came_from_or_to_where_it_is_as_full() -> None:
+    made = planner()
+    made.observe(0.0, places(a=30, b=5))
+    one = candidate("one")
+    assert made.choose(0.0, [one], lambda _: "b") is not None
+    made.observe(100_000.0, places(a=5, b=30))
+    back = Candidate(one.job, one.key, "b", "x", 1.0, 1.0, 90_000.0)
+    assert made.choose(100_000.0, [back], lambda _: "a") is None and made.left_out[Why.BACK] == 1
+    made.observe(200_000.0, places(a=30, b=29.9, c=2))
+    assert made.choose(200_000.0, [candidate("two")], lambda _: "b") is None
+    assert made.left_out[Why.NO_GAIN] == 1
+
+
+def test_the_rate_grows_with_good_returns_and_falls_at_once() -> None:
+    pace = Pace(PaceFigures(start=1.0, least=0.2, most=4.0, gain=0.1, cool=5_000.0), random.Random(1))
+    for n in range(50):
+        pace.take(Signal.RETURNED, float(n))
+    assert pace.rate == 4.0
+    assert pace.take(Signal.REFUSED, 100.0) and pace.rate == 2.0
+    assert not pace.take(Signal.REFUSED, 110.0), "of one moment"
+    pace.take(Signal.RETURNED, 120.0)
+    assert pace.rate == 2.0, "no growth while it cools"
+    assert pace.take(Signal.LATE, 6_000.0) and pace.rate == 1.0
+    assert pace.take(Signal.STRAINED, 20_000.0) and pace.rate == 0.2
+    assert not pace.due(24_000.0) and pace.due(25_100.0)
+
+
+def test_returns_and_refusals_count_once_and_only_for_moved_clients() -> None:
+    made = planner()
+    made.observe(0.0, places(a=30, b=5))
+    chosen = made.choose(0.0, [candidate("one")], lambda _: "b")
+    assert chosen is not None
+    assert made.returned(100.0, 1234, "b", 5.0) is None
+    assert made.turned_away(100.0, chosen.key) is Signal.REFUSED
+    assert made.late(200.0, "b") is Signal.LATE and made.late(200.0, "a") is None
+    assert made.returned(300.0, chosen.key, "b", 5.0) is Signal.RETURNED
+    assert made.returned(400.0, chosen.key, "b", 5.0) is None
+    made.choose(0.0, [candidate("two")], lambda _: "b")
+    assert made.lost_sight(10_000.0) == 1 and made.lost_sight(20_000.0) == 0
+
+
+def test_rests_and_pace_go_on_in_the_next_process() -> None:
+    made = planner()
+    made.observe(0.0, places(a=30, b=5))
+    chosen = made.choose(0.0, [candidate("one")], lambda _: "b")
+    assert chosen is not None
+    later = planner()
+    later.restore(50_000.0, 0.7, made.rests(20_000.0))
+    assert later.pace.rate == 0.7
+    later.observe(50_000.0, places(a=30, b=5))
+    assert later.choose(50_000.0, [candidate("one")], lambda _: "b") is None
+    assert later.left_out[Why.RESTING] == 1
+    assert made.rests(70_000.0) == []
+
+
+@given(st.lists(st.floats(0.0, 1e6), min_size=10, max_size=200), st.floats(0.0, 2e6))
+def test_remaining_life_is_never_below_zero_or_past_all_that_was_seen(ages: list[float], age: float) -> None:
+    lives = Lives()
+    for seen in ages:
+        lives.end(seen)
+    left = lives.remaining(age)
+    assert left is not None and 0.0 <= left <= 4.0 * max(*ages, age, 1_000.0) + 2_000.0
+
+
+def test_remaining_life_follows_what_was_seen() -> None:
+    rng = random.Random(4)
+    lives = Lives()
+    for _ in range(400):
+        lives.end(rng.expovariate(1 / 30_000.0))
+    young, old = lives.remaining(0.0), lives.remaining(20_000.0)
+    assert young is not None and 20_000.0 < young < 45_000.0
+    assert old is not None and 15_000.0 < old < 50_000.0, "an exponential life has no memory"
+    assert Lives().remaining(5.0) is None
+
+
+class Moving(RuleBasedStateMachine):
+    """A fleet of four servers under one planner: whatever happens, its rules hold."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.rng = random.Random(3)
+        self.figures = Figures(settle=500.0, rest=5_000.0, young=100.0, pace=PaceFigures(2.0, 0.5, 8.0))
+        self.planner = Planner(self.figures, self.rng)
+        self.at: dict[str, str] = {}
+        self.placed: dict[str, float] = {}
+        self.was: dict[str, list[str]] = {}
+        self.capacity = {"a": 1.0, "b": 1.0, "c": 2.0, "d": 0.2}
+        self.times: list[float] = []
+        self.count = 0
+
+    def seen(self) -> list[Place]:
+        counts = {ident: sum(at == ident for at in self.at.values()) for ident in self.capacity}
+        return [Place(ident, counts[ident], can, flows=counts[ident]) for ident, can in self.capacity.items()]
+
+    def advise(self, job: str) -> str:
+        """As the module would: the emptiest by capacity."""
+        return min(self.seen(), key=lambda place: place.load / max(place.capacity, 0.02)).id
+
+    @rule(server=st.sampled_from("abcd"), count=st.integers(1, 15))
+    def arrive(self, server: str, count: int) -> None:
+        for _ in range(count):
+            self.count += 1
+            self.at[f"j{self.count}"] = server
+            self.placed[f"j{self.count}"] = self.now
+
+    @rule(server=st.sampled_from("abcd"), can=st.sampled_from([0.0, 0.13, 0.5, 1.0, 2.0]))
+    def change(self, server: str, can: float) -> None:
+        self.capacity[server] = can
+
+    @precondition(lambda self: self.at)
+    @rule(data=st.data())
+    def leave(self, data: st.DataObject) -> None:
+        job = data.draw(st.sampled_from(sorted(self.at)))
+        self.planner.ended("x", self.now - self.placed[job], cut=False)
+        del self.at[job]
+
+    @rule(signal=st.sampled_from(list(Signal)))
+    def hear(self, signal: Signal) -> None:
+        self.planner.pace.take(signal, self.now)
+
+    @rule(rounds=st.integers(1, 40))
+    def run(self, rounds: int) -> None:
+        for _ in range(rounds):
+            self.now += 100.0
+            if self.planner.observe(self.now, self.seen()) is not None:
+                continue
+            for place in self.planner.sources():
+                sample = [
+                    Candidate(job, int(job[1:]), at, "x", 1.0, 1.0, self.now - self.placed[job])
+                    for job, at in self.at.items()
+                    if at == place.id
+                ]
+                if (planned := self.planner.choose(self.now, sample, self.advise)) is not None:
+                    self.move(planned.job, planned.target)
+                    break
+
+    def move(self, job: str, target: str) -> None:
+        ratio = self.planner.ratio
+        assert target not in self.was.get(job, []), "there and back"
+        last = self.times[-1] if self.times else float("-inf")
+        assert self.now > last or self.planner.pace.rate > 5.0
+        assert self.planner.moving and ratio > self.figures.stop_at
+        self.was.setdefault(job, []).append(self.at[job])
+        assert self.now - self.placed[job] >= self.figures.young
+        self.at[job] = target
+        self.placed[job] = self.now
+        self.times.append(self.now)
+
+    @invariant()
+    def never_over_the_rate(self) -> None:
+        recent = [at for at in self.times if at > self.now - 10_000.0]
+        assert len(recent) <= 10_000.0 / 100.0, "one a round at most"
+        assert self.figures.pace.least <= self.planner.pace.rate <= self.figures.pace.most
+
+
+Moving.TestCase.settings = settings(max_examples=40, stateful_step_count=30, deadline=None)
+TestMoving = Moving.TestCase
+
+
+@settings(max_examples=40, deadline=None)
+@given(st.lists(st.integers(4, 40), min_size=2, max_size=12), st.integers(0, 9_999))
+def test_a_balanced_fleet_is_a_fixed_point_and_any_other_comes_to_balance(
+    loads: list[int], seed: int
+) -> None:
+    made = Planner(FIGURES, random.Random(seed))
+    counts = {f"s{n}": load for n, load in enumerate(loads)}
+    at = {f"s{n}-{m}": f"s{n}" for n, load in enumerate(loads) for m in range(load)}
+    mean = sum(loads) / len(loads)
+    least = sum(max(0.0, load - 1.1 * mean - 1.0) for load in loads)
+    now, moves = 0.0, 0
+    for _ in range(3_000):
+        now += 50.0
+        if made.observe(now, places(**counts)) is not None:
+            if made.why is Why.BALANCED:
+                break
+            continue
+        for source in made.sources():
+            sample = [candidate(job, where) for job, where in at.items() if where == source.id]
+            if planned := made.choose(now, sample, lambda _: min(counts, key=counts.__getitem__)):
+                counts[planned.source] -= 1
+                counts[planned.target] += 1
+                at[planned.job] = planned.target
+                moves += 1
+                break
+        else:
+            break
+    assert max(counts.values()) <= max(1.25 * mean, mean + 1.0) + 1e-9
+    if max(loads) <= 1.25 * mean:
+        assert moves == 0
+    assert moves <= 1.25 * least + len(loads) + sum(max(0.0, load - mean) for load in loads)
--- /dev/null
+++ b/tests/test_rebalance.py
@@ -0,0 +1,220 @@
+"""Stories of rebalancing: the module's part, both fronts, and what operators call."""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import replace
+from pathlib import Path
+
+import anyio
+import pytest
+
+from puffinford import Balancer
+from puffinford import interface as it
+from puffinford.cli import main
+from puffinford.fronts.channels import codec
+from puffinford.interface import ListKind, Server, ServerList
+from puffinford.operators import RebalanceSettings
+from puffinford.rebalance.service import Rebalancer, figures
+from tests.stage import ChannelPeer, Peer, Stage, call, echo, settings, stage
+
+pytestmark = pytest.mark.anyio
+
+FIGURES = figures(
+    RebalanceSettings(
+        enabled=True, settle=0.0, rest=60_000.0, start_rate=500.0, least_rate=100.0, most_rate=900.0
+    )
+)
+
+
+def rebalancer(here: Stage) -> Rebalancer:
+    made = Rebalancer(FIGURES, settings(), here.exchange, here.clock, random.Random(2))
+    made.planner.figures = replace(FIGURES, young=0.0)
+    here.exchange.watcher = made
+    return made
+
+
+class Fleet:
+    """A module with servers, and a host that carries out what it wants at once."""
+
+    def __init__(self, names: str, **more: object) -> None:
+        self.balancer = Balancer(settings(**more), 3)
+        self.now = 100_000.0
+        self.at: dict[str, str] = {}
+        self.moved: list[str] = []
+        self.refused: list[str] = []
+        self.wakes: list[tuple[float, int]] = []
+        self.tell(ServerList(ListKind.REPLACE, [Server(name) for name in names]))
+
+    def tell(self, *events: it.Event) -> None:
+        for action in self.balancer.handle(self.now, list(events)):
+            match action:
+                case it.Attempt():
+                    self.at[action.id] = action.server
+                    self.tell(it.Established(action.id, 0, action.server, 1.0))
+                case it.Move():
+                    self.moved.append(action.id)
+                    del self.at[action.id]
+                case it.Refuse():
+                    self.refused.append(action.id)
+                case it.SetTimer():
+                    self.wakes.append((self.now + action.delay, action.token))
+
+    def ask(self, job: str, key: int, **more: object) -> None:
+        self.tell(it.Request(job, "price-lookup", 2_000.0, key=key, **more))  # type: ignore[arg-type]
+
+    def pass_(self, ms: float) -> None:
+        self.now += ms
+        due = [token for at, token in self.wakes if at <= self.now]
+        self.wakes = [wake for wake in self.wakes if wake[0] > self.now]
+        for token in due:
+            self.tell(it.Timer(token))
+
+    def loads(self) -> dict[str, float]:
+        return {s.server: s.load for s in self.balancer.survey(self.now)}
+
+
+def test_a_kept_place_counts_until_its_client_comes_or_its_time_is_over() -> None:
+    fleet = Fleet("a")
+    for n in range(10):
+        fleet.ask(f"j{n}", n)
+    fleet.tell(ServerList(ListKind.UPDATE, [Server("b")]))
+    assert fleet.balancer.advise("j0", fleet.now) == "b"
+    fleet.tell(it.Relocate("j0", "b", 2_000.0), it.Relocate("j1", "b", 2_000.0), it.Relocate("j9", "x", 9.0))
+    assert fleet.moved == ["j0", "j1"] and fleet.loads() == {"a": 8.0, "b": 2.0}
+    fleet.ask("back", 0, came_back=True)
+    assert fleet.at["back"] == "b" and fleet.loads()["b"] == 2.0
+    fleet.pass_(2_500.0)
+    assert fleet.loads() == {"a": 8.0, "b": 1.0}, "the other client went elsewhere"
+    fleet.ask("later", 1, came_back=True)
+    assert sum(fleet.loads().values()) == 10.0
+
+
+def test_a_query_changes_nothing() -> None:
+    one, other = Fleet("abcd"), Fleet("abcd")
+    for n in range(40):
+        for fleet in (one, other):
+            fleet.ask(f"j{n}", n, group=n % 5)
+        for m in range(n):
+            one.balancer.advise(f"j{m}", one.now)
+        one.balancer.survey(one.now)
+        one.balancer.standing("a", 5)
+    assert one.at == other.at and one.loads() == other.loads()
+
+
+def test_a_cold_server_pays_for_moved_clients_from_the_same_budget() -> None:
+    fleet = Fleet("a", warm_time=20_000.0, cold_from=0.1)
+    for n in range(60):
+        fleet.ask(f"j{n}", n)
+    fleet.tell(ServerList(ListKind.UPDATE, [Server("b", started=fleet.now)]))
+    for n in range(60):
+        fleet.tell(it.Relocate(f"j{n}", "b", 2_000.0))
+    assert len(fleet.moved) <= 2, "no more than the credit of a moment"
+
+
+def test_the_place_of_a_server_that_died_meanwhile_is_no_place() -> None:
+    fleet = Fleet("abc")
+    for n in range(9):
+        fleet.ask(f"j{n}", n)
+    job = next(job for job, at in fleet.at.items() if at == "a")
+    fleet.tell(it.Relocate(job, "b", 2_000.0))
+    fleet.tell(ServerList(ListKind.UPDATE, [Server("b", state=it.ServerState.GONE)]))
+    fleet.ask("back", int(job[1:]), came_back=True)
+    assert fleet.at["back"] in ("a", "c") and not fleet.refused
+
+
+@pytest.mark.parametrize("front", ["lines", "channels"])
+async def test_clients_are_moved_between_lines_and_come_back_to_the_fresh_server(front: str) -> None:
+    async with stage() as here:
+        plan = rebalancer(here)
+        await here.server("s-1", echo)
+        peers: list[Peer | ChannelPeer] = []
+        for n in range(16):
+            if front == "lines":
+                peers.append(await here.client(b"OPEN %x %x c=price-lookup,d=2000" % (n, n)))
+                assert await peers[-1].line() == b"UP r1\r\n"  # type: ignore[union-attr]
+        if front == "channels":
+            channel = await here.channel_client()
+            peers.append(channel)
+            for n in range(16):
+                await channel.open(n, f"{n:x}", key=f"{n:x}")
+                assert isinstance(await channel.next(), codec.OpenConfirmation)
+        await here.settle()
+        here.clock.advance(5_000.0)
+        assert plan.round() == 0 and plan.planner.why.value == "too few connections to judge"
+        await here.server("s-2", echo)
+        here.clock.advance(1_000.0)
+        for _ in range(40):
+            plan.round()
+            here.clock.advance(50.0)
+            await here.settle()
+        moved = plan.planner.moves
+        survey = {s.server: s.flows for s in here.exchange.survey()}
+        assert moved == 8 and survey == {"s-1": 16 - moved, "s-2": moved}, "places are kept"
+        if front == "channels":
+            assert "move@" in str(await channel.next())
+            return
+        back = []
+        for n, peer in enumerate(peers):
+            assert isinstance(peer, Peer)
+            with anyio.move_on_after(0.02):
+                if await peer.line() == b"MOVE\r\n":
+                    await peer.fin()
+                    back.append(await here.client(b"OPEN b%x %x c=price-lookup,d=2000,again=1" % (n, n)))
+                    assert await back[-1].line() == b"UP r1\r\n"
+        await here.settle()
+        assert len(back) == moved and plan.planner.landed == {"s-2": moved}
+        assert plan.planner.pace.counts.total() == moved
+        here.clock.advance(3_000.0)
+        assert plan.round() == 0 and plan.planner.why.value == "in balance"
+
+
+async def test_a_client_with_a_line_unanswered_is_left_alone() -> None:
+    async def deaf(peer: Peer) -> None:
+        await peer.line()
+        await peer.say(b"UP r1")
+        while await peer.line() not in (b"FIN", b"RST"):
+            pass
+
+    async with stage() as here:
+        plan = rebalancer(here)
+        await here.server("s-1", deaf)
+        clients = [await here.client(b"OPEN %x %x c=price-lookup,d=2000" % (n, n)) for n in range(12)]
+        for client in clients:
+            assert await client.line() == b"UP r1\r\n"
+            await client.say(b"half an exchange")
+        await here.server("s-2", echo)
+        await here.settle()
+        await anyio.sleep(0.02)
+        here.clock.advance(50.0)
+        assert plan.round() == 0
+        assert plan.planner.left_out.keys() == {type(plan.planner.why).BUSY}
+
+
+async def test_operators_watch_pause_and_limit(capsys: pytest.CaptureFixture[str], tmp_path: Path) -> None:
+    async with stage() as here:
+        plan = rebalancer(here)
+        await here.server("s-1", echo)
+        port = here.management(extras={"rebalance": plan.answer})
+        status, text = await call(port, "GET /admin/rebalance")
+        assert status == 200 and json.loads(text)["servers"][0]["server"] == "s-1"
+        for said, wanted in (
+            ("POST /admin/rebalance/pause", 200),
+            ("POST /admin/rebalance/limit/2-s", 200),
+            ("POST /admin/rebalance/limit/many", 400),
+            ("GET /admin/rebalance/pause", 405),
+            ("POST /admin/rebalance", 405),
+            ("POST /admin/rebalance/stop", 404),
+        ):
+            assert (await call(port, said))[0] == wanted, said
+        assert plan.planner.paused and plan.planner.pace.figures.most == 2.0 >= plan.planner.pace.rate
+        address = f"127.0.0.1:{port}"
+        for words in (["show"], ["show", "--json"], ["start"], ["limit", "30/min"]):
+            assert await anyio.to_thread.run_sync(main, ["rebalance", "--address", address, *words]) == 0
+        assert "s-1" in capsys.readouterr().out and not plan.planner.paused
+        assert plan.planner.pace.figures.most == 0.5
+        plan.planner.configure(figures(RebalanceSettings()))
+        assert (await call(port, "POST /admin/rebalance/start"))[0] == 409
+        failed = await anyio.to_thread.run_sync(main, ["rebalance", "--address", "127.0.0.1:1", "show"])
+        assert failed == 1
