Start rebalancing for the few servers that restart among many; keep its pace over restarts

Cause: on loopback, two of ten servers restarted cold, no balancer moved anything. Three reasons, found by asking /admin/rebalance during the run: a process that had seen short lives alone took every connection for about to end; clients cut off by the crash, the very ones to move home, rested for a minute; and with two of ten empty the fullest is 1.25 times the mean at most, so nothing ever passed the band. Ruled out: the module's cold budget and its queries.

Change: lives that outlast what was seen count as long; rest-back (10 s) for clients that came back for another reason; the measure looks at the emptiest server too, and both bands are widened by chance. A group that fits nowhere is not begun. Refusals and failed returns stop all moves for a while. The pace and the rests go through the state store. List changes cost less: health is gathered at its own pace, and gone servers are looked for when one is named.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -231,11 +231,12 @@
                     changed = True
         for server in event.servers:
             changed |= self._take_entry(server, now)
-        self.backends = {
-            ident: backend
-            for ident, backend in self.backends.items()
-            if backend.listed is not it.ServerState.GONE or backend.flows
-        }
+        if event.kind is not it.ListKind.UPDATE or any(s.state is it.ServerState.GONE for s in event.servers):
+            self.backends = {
+                ident: backend
+                for ident, backend in self.backends.items()
+                if backend.listed is not it.ServerState.GONE or backend.flows
+            }
         if changed:
             self._shuffle()
         return changed
@@ -428,14 +429,19 @@
     def standing(self, server: str, most: int) -> list[it.Standing]:
         """At most so many of the own connections that stand at a server, drawn at random. Without effect."""
         backend = self._fleet.backends.get(server)
-        flows = [] if backend is None else list(backend.flows.values())
-        if len(flows) > 2 * most:
-            flows = self._doubles.sample(flows, 2 * most)
-        return [
-            it.Standing(f.id, f.key, f.cls.name, f.load, f.group, f.sent_at, f.came_back)
-            for f in flows
-            if f.standing and f.key is not None
-        ][:most]
+        if backend is None:
+            return []
+        flows = [f for f in backend.flows.values() if f.standing and f.key is not None]
+        if len(flows) > most:
+            flows = self._doubles.sample(flows, most)
+        told = []
+        for f in flows:
+            group = f.group if self._settings.grouped else None
+            members = backend.groups[group] if group is not None else 0
+            assert f.key is not None
+            row = (f.id, f.key, f.cls.name, f.load, group, f.sent_at, f.came_back, members)
+            told.append(it.Standing(*row))
+        return told
 
     def advise(self, ident: str, now: float) -> str | None:
         """Where a standing connection would be placed, were it new. Without effect."""
--- a/puffinford/cli/rebalance.py
+++ b/puffinford/cli/rebalance.py
@@ -49,7 +49,7 @@
         click.echo(json.dumps(told, indent=1))
         return
     click.echo(
-        f"{told['state']}: {told['why']}; fullest {told['ratio']:.2f} times the mean,"
+        f"{told['state']}: {told['why']}; {told['ratio']:.2f} off the mean (1: none),"
         f" {told['rate']:g} moves a second, {told['moves']} moved, {told['elsewhere']} seen no more here"
     )
     for name, counts in (
--- a/puffinford/interface.py
+++ b/puffinford/interface.py
@@ -360,6 +360,7 @@
     group: int | None
     placed: float  # when, in ms of the host's time
     came_back: bool  # its client had been moved or cut off before
+    members: int  # own connections of its group at that server, itself among them; 0 without a group
 
 
 # Actions
--- a/puffinford/operators/schema.py
+++ b/puffinford/operators/schema.py
@@ -69,10 +69,11 @@
     """
 
     enabled: bool = setting(False, units.flag, "whether standing connections are moved towards balance")
-    start_at: float = _part(1.25, 1.01, 10.0, "fullest server over the mean, at which moving starts")
-    stop_at: float = _part(1.10, 1.0, 10.0, "and at which it stops")
+    start_at: float = _part(1.25, 1.01, 10.0, "a server so far over the mean, or under it: moving starts")
+    stop_at: float = _part(1.10, 1.0, 10.0, "all within so much of it: it stops")
     settle: float = _time(3_000.0, 0.0, HOUR, "out of balance for so long before it starts")
     rest: float = _time(MIN, 0.0, DAY, "a client that was moved is left alone for so long")
+    rest_back: float = _time(10_000.0, 0.0, DAY, "one that came back for another reason, for so long")
     hold: float = _time(2_500.0, 100.0, MIN, "a place is kept so long for a moved client's return")
     in_time: float = _time(1_000.0, 10.0, MIN, "a return that takes longer slows the pace")
     start_rate: float = _rate(1.0, "moves a second to begin with")
--- a/puffinford/rebalance/lives.py
+++ b/puffinford/rebalance/lives.py
@@ -48,8 +48,12 @@
             low = FIRST * (2.0**index - 1.0)
             length = FIRST * 2.0**index
             inside = max(0.0, age - low) if index == start else 0.0
-            ending = self._ended[index] / self._seen[index] if self._seen[index] else 1.0
             left = length - inside
+            if self._seen[index] < ENOUGH:
+                # Guards a young process against taking all that outlives what it has seen for about to end.
+                total += alive * (left + length)
+                break
+            ending = self._ended[index] / self._seen[index]
             total += alive * (left * (1.0 - ending) + left / 2.0 * ending)
             alive *= 1.0 - ending
             if alive <= 1e-6:
--- a/puffinford/rebalance/pace.py
+++ b/puffinford/rebalance/pace.py
@@ -35,6 +35,10 @@
 }
 
 
+# The fleet has no room for what was moved: nothing more is, for a while.
+_STOPS = (Signal.REFUSED, Signal.FAILED, Signal.STRAINED)
+
+
 @dataclass(frozen=True)
 class PaceFigures:
     """Rates in moves a second, times in ms."""
@@ -43,7 +47,7 @@
     least: float = 0.2
     most: float = 10.0
     gain: float = 0.1  # for each good return
-    cool: float = 5_000.0  # no growth for so long after a bad signal, and no move after STRAINED
+    cool: float = 5_000.0  # no growth for so long after a bad signal; no move after one that stops
 
 
 class Pace:
@@ -74,8 +78,9 @@
             return False
         # Several signs of one moment are one: what follows tells whether the new rate is borne.
         fresh = now >= self._cool_until
-        if signal is Signal.STRAINED:
+        if signal in _STOPS:
             self._stopped_until = now + self.figures.cool
+        if signal is Signal.STRAINED:
             fresh = self.rate > self.figures.least
             self.rate = self.figures.least
         elif fresh:
--- a/puffinford/rebalance/planner.py
+++ b/puffinford/rebalance/planner.py
@@ -51,10 +51,11 @@
     """The operators' figures: ratios of load by capacity to the mean, times in ms."""
 
     enabled: bool = True
-    start_at: float = 1.25  # the fullest server, at which moving starts
-    stop_at: float = 1.1  # and at which it stops
+    start_at: float = 1.25  # the fullest server, or as far under the mean the emptiest: moving starts
+    stop_at: float = 1.1  # and stops
     settle: float = 3_000.0  # out of balance for so long before it starts
     rest: float = 60_000.0  # a client that was moved is left alone for so long
+    rest_back: float = 10_000.0  # one that came back, from a crash or another balancer's move, rests so long
     young: float = 3_000.0  # and a connection that was just placed
     hold: float = 2_500.0  # a place is kept for the return of its client
     in_time: float = 1_000.0  # a moved client that takes longer to come up had a slow return
@@ -89,6 +90,7 @@
     group: int | None = None
     quiet: bool = True  # no line waits for an answer
     came_back: bool = False  # its client had been moved or cut off before, perhaps at another balancer
+    members: int = 0  # own connections of its group at the same server, itself among them
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +128,7 @@
         self.lives: dict[str, Lives] = {}
         self.moving = False
         self.paused = False
-        self.ratio = 1.0  # the fullest server's load by capacity over the mean
+        self.ratio = 1.0  # how far the fullest or the emptiest server is off the mean, as a ratio over 1
         self.why = Why.BALANCED
         self.left_out: Counter[Why] = Counter()  # of the last round
         self.moves = 0
@@ -163,7 +165,7 @@
         capacity = sum(place.capacity for place in able)
         self._mean = load / capacity if capacity else 0.0
         self._chance = self._noise(load / max(1, len(able)))
-        self.ratio = max((self._full(place) for place in able), default=0.0) / self._mean if load else 1.0
+        self.ratio = self._imbalance(able)
         known = [place for place in able if place.flows]
         if known and sum(place.strained for place in known) > max(1.0, STRAINED * len(known)):
             self._signal(Signal.STRAINED, now)
@@ -179,6 +181,17 @@
             return Why.FEW
         return self._in_band(now)
 
+    def _imbalance(self, able: list[Place]) -> float:
+        """The fullest server over the mean, or as far as the emptiest that can be moved to lies under it.
+
+        Guards the few that restart among many: with two of ten empty the fullest is only 1.25 times the mean.
+        """
+        if not self._mean:
+            return 1.0
+        most = max(map(self._full, able)) / self._mean
+        least = min((self._full(place) for place in able if place.usable), default=self._mean) / self._mean
+        return max(most, 2.0 - least)
+
     def _noise(self, each: float) -> float:
         """How far one server's own load is over the mean by chance alone, as a part of the mean.
 
@@ -216,8 +229,8 @@
         return (place.load + more) / max(place.capacity, FLOOR)
 
     def sources(self) -> list[Place]:
-        """The servers over the band, fullest first, the one whose group is under way before all."""
-        line = self._mean * (self.figures.stop_at + self._chance)
+        """The servers over the mean, fullest first, the one whose group is under way before all."""
+        line = self._mean * (1.0 + self._chance / 2.0)
         over = [p for p in self._places.values() if p.flows and (self._full(p) > line or p.capacity <= 0.0)]
         over.sort(key=self._full, reverse=True)
         if self._group is not None:
@@ -256,7 +269,7 @@
         if candidate.age < self.figures.young:
             return Why.YOUNG
         moved = self._moved.get(candidate.key)
-        if candidate.came_back and candidate.age < self.figures.rest:
+        if candidate.came_back and candidate.age < self.figures.rest_back:
             return Why.RESTING
         if moved is not None and now - moved.at < self.figures.rest:
             return Why.RESTING
@@ -287,6 +300,10 @@
         moved = self._moved.get(candidate.key)
         if moved is not None and target.id in moved.sources:
             return Why.BACK
+        # A group goes whole, for each server that holds any of it pays: one that does not fit is not begun.
+        whole = candidate.load * max(1, candidate.members)
+        if candidate.members > 1 and self._full(target, whole) >= self._full(source):
+            return Why.GROUP
         # The fuller of the two has to be less full after it, by a part of what is moved, or it may swing.
         gain = self._full(source) - self._full(target, candidate.load)
         least = GAIN_LEAST * candidate.load / max(source.capacity, FLOOR)
--- a/puffinford/rebalance/service.py
+++ b/puffinford/rebalance/service.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import random
+import time
 from dataclasses import replace
 from typing import Any
 
@@ -15,11 +16,13 @@
 from puffinford.operators import RebalanceSettings, units
 from puffinford.rebalance.pace import PaceFigures
 from puffinford.rebalance.planner import Candidate, Figures, Place, Planned, Planner, Why
+from puffinford.state.records import PaceRecord
 
 log = logging.getLogger(__name__)
 
 ROUND = 200.0  # ms between looks
 IDLE_ROUND = 1_000.0  # the same while nothing is out of balance
+RESTS = 1_000  # clients at rest that the next process hears of, the latest
 FEW_SOURCES = 4  # servers whose connections are looked at in a round
 
 
@@ -32,6 +35,7 @@
         stop_at=told.stop_at,
         settle=told.settle,
         rest=told.rest,
+        rest_back=told.rest_back,
         hold=told.hold,
         in_time=told.in_time,
         pace=pace,
@@ -133,6 +137,7 @@
                     flow.group,
                     quiet,
                     flow.came_back,
+                    flow.members,
                 )
                 for flow, quiet in self._exchange.standing(source.id, self.planner.figures.sample)
             ]
@@ -155,6 +160,24 @@
             },
         )
 
+    # What is kept over a restart
+
+    def kept(self) -> PaceRecord | None:
+        """How far it has come; None while it is switched off."""
+        planner, now = self.planner, self._clock.now()
+        if not planner.figures.enabled:
+            return None
+        offset = time.time() * 1_000.0 - now
+        rests = [(key, now - since + offset, was, to) for key, since, was, to in planner.rests(now)[-RESTS:]]
+        return PaceRecord(planner.pace.rate, rests)
+
+    def go_on(self, record: PaceRecord) -> None:
+        """Go on from what another process of this balancer had come to."""
+        now = self._clock.now()
+        offset = time.time() * 1_000.0 - now
+        rests = [(key, now - (at - offset), was, to) for key, at, was, to in record.rests]
+        self.planner.restore(now, record.rate, rests)
+
     # Operators
 
     def answer(self, call: Call) -> Reply:
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -86,7 +86,22 @@
         self._exchange = Exchange(config.settings, config.seed, clock, sides)
         place = store_file(config.operators.state, config.state, config.name)
         exchange = self._exchange
-        self._keeper = Keeper(config.operators.state, place, clock, exchange.health, exchange.learn)
+        self._rebalancer = Rebalancer(
+            figures(config.operators.rebalance),
+            config.settings,
+            exchange,
+            clock,
+            random.Random(config.seed ^ 0x4EBA),
+        )
+        self._keeper = Keeper(
+            config.operators.state,
+            place,
+            clock,
+            exchange.health,
+            exchange.learn,
+            self._rebalancer.kept,
+            self._rebalancer.go_on,
+        )
         start = self._keeper.start(config.known)
         self._restored = start.restored
         self._guard = ListGuard(start.version, start.restored.machines.machines)
@@ -107,13 +122,6 @@
         callers = Door(clock, Budget(MGMT_MOST + 1, 0), part=1)
         path = state_path(config.state, config.name)
         self._cordons = Cordons(path, self._exchange.cordon)
-        self._rebalancer = Rebalancer(
-            figures(config.operators.rebalance),
-            config.settings,
-            self._exchange,
-            clock,
-            random.Random(config.seed ^ 0x4EBA),
-        )
         extras = {"rebalance": self._rebalancer.answer}
         calls = HttpCalls(Calls(self._exchange, self._cordons, self._lacking, extras).answer, callers)
         self._mgmt = Front("management", calls.handle, callers, MGMT_TURN)
--- a/puffinford/standins/play.py
+++ b/puffinford/standins/play.py
@@ -70,6 +70,7 @@
     servers: dict[str, Make] = field(default_factory=dict)
     events: list[Event] = field(default_factory=list)
     operators: str = ""
+    grouped: bool = True  # whether connections of a group share work, as the balancers are told
     known: dict[str, Any] | None = None
 
 
@@ -179,6 +180,7 @@
             self.discovery.become(discovery)
             for number in range(1, script.balancers + 1):
                 told = facts(script.kinds, script.balancers, number - 1)
+                told["domain"]["groups"] = script.grouped
                 self.balancers.append(
                     BalancerProcess(
                         f"n{number}",
--- a/puffinford/state/keeper.py
+++ b/puffinford/state/keeper.py
@@ -22,7 +22,9 @@
 from puffinford.state import recovery, trust
 from puffinford.state.records import (
     LIST_KEY,
+    PACE_KEY,
     ListRecord,
+    PaceRecord,
     ServerRecord,
     Stored,
     encode,
@@ -68,11 +70,17 @@
         clock: Clock,
         learned: Callable[[], list[Health]],
         learn: Callable[[list[Health]], None],
+        pace: Callable[[], PaceRecord | None] = lambda: None,
+        go_on: Callable[[PaceRecord], None] = lambda _: None,
     ) -> None:
+        """`pace` tells how far rebalancing has come, `go_on` hands it what another process had come to."""
         self._settings = settings
         self._clock = clock
         self._learned = learned
         self._learn = learn
+        self._pace = pace
+        self._go_on = go_on
+        self._pace_at = float("-inf")
         self._store: Store | None = None
         self._durable = place is not None and place[1]
         if place is not None:
@@ -86,7 +94,7 @@
         self._due: dict[bytes, bytes | None] = {}
         self._urgent = anyio.Event()
         self._slow_commits = self._durable
-        self._told_at = float("-inf")
+        self._told_at = self._gathered_at = float("-inf")
         self._forget_at = 0.0
         self._took_over = False
 
@@ -119,6 +127,8 @@
             for text in stored.rotten[:10]:
                 log.warning("state record rejected", extra={"error": text})
             self._take_in(stored)
+            if stored.pace is not None:
+                self._go_on(stored.pace)
         told = self._settings
         begun = recovery.merge(stored, known, self._clock.now(), self._offset, weights(told), told.known_age)
         restored = begun.restored
@@ -201,6 +211,7 @@
         """Leave the store to the next version. What has changed is written first."""
         if self._store is not None and self._store.writes:
             self._gather_health()
+            self._gather_pace(last=True)
             self._commit_now()
             self._store.let_go()
 
@@ -266,7 +277,8 @@
     def _gather_health(self) -> None:
         """What the module has learned since the last write."""
         offset = self._offset
-        now = self._clock.now() + offset
+        self._gathered_at = self._clock.now()
+        now = self._gathered_at + offset
         told = {health.server: health for health in self._learned() if health.server in self._servers}
         for ident, health in told.items():
             held = self._health.get(ident)
@@ -278,6 +290,15 @@
             del self._health[ident]
             self._due[health_key(ident)] = None
 
+    def _gather_pace(self, *, last: bool = False) -> None:
+        """How far rebalancing has come, now and then and at the end."""
+        now = self._clock.now()
+        if last or now - self._pace_at >= CONFIRM_EVERY:
+            self._pace_at = now
+            record = self._pace()
+            if record is not None:
+                self._due[PACE_KEY] = encode(PACE_KEY, record, now + self._offset)
+
     def _forget(self) -> None:
         """Retention: servers that left long ago."""
         now = self._clock.now() + self._offset
@@ -305,8 +326,11 @@
                     await self._urgent.wait()
                 self._urgent = anyio.Event()
                 if self._claim(self._store):
-                    self._gather_health()
-                    self._forget()
+                    if self._clock.now() - self._gathered_at >= self._settings.write_every:
+                        # Bad news of a list hurries; what was learned keeps its pace.
+                        self._gather_health()
+                        self._gather_pace()
+                        self._forget()
                     await self._commit()
                 elif self._took_over:
                     self.take_over()
@@ -327,6 +351,8 @@
             self._tell_once(exc)
             return False
         now = self._clock.now() + self._offset
+        if stored.pace is not None:
+            self._go_on(stored.pace)
         self._health.clear()
         for ident, (health, confirmed) in stored.health.items():
             self._health[ident] = recovery.to_health(health, confirmed, self._offset)
--- a/puffinford/state/records.py
+++ b/puffinford/state/records.py
@@ -16,6 +16,7 @@
 
 SCHEMA = 1
 LIST_KEY = b"list"
+PACE_KEY = b"pace"
 SERVER_PREFIX = b"s/"
 HEALTH_PREFIX = b"h/"
 KEY_MOST = 500  # bytes; LMDB takes 511
@@ -77,12 +78,22 @@
     cold_from: Time = 0.0
 
 
-Record = ListRecord | ServerRecord | HealthRecord
-R = TypeVar("R", ListRecord, ServerRecord, HealthRecord)
+class PaceRecord(msgspec.Struct, frozen=True, array_like=True):
+    """How far rebalancing had come: its rate in moves a second, and the clients that rest.
+
+    A client is its key, Unix ms of its move, the servers it was at, and where it was sent.
+    """
+
+    rate: Time
+    rests: list[tuple[int, Time, tuple[Text, ...], Text]]
+
+
+Record = ListRecord | ServerRecord | HealthRecord | PaceRecord
+R = TypeVar("R", ListRecord, ServerRecord, HealthRecord, PaceRecord)
 
 _encode = msgspec.msgpack.Encoder().encode
 _decoders: dict[type[Any], Any] = {
-    kind: msgspec.msgpack.Decoder(kind) for kind in (ListRecord, ServerRecord, HealthRecord)
+    kind: msgspec.msgpack.Decoder(kind) for kind in (ListRecord, ServerRecord, HealthRecord, PaceRecord)
 }
 
 
@@ -95,6 +106,7 @@
     entries: int = -1  # how many servers the list named when it was written; -1 without a list
     servers: dict[str, tuple[ServerRecord, float]] = field(default_factory=dict)
     health: dict[str, tuple[HealthRecord, float]] = field(default_factory=dict)
+    pace: PaceRecord | None = None
     rotten: list[str] = field(default_factory=list)  # KEY: what is wrong
     newer: int = 0  # the highest schema above ours that was met
 
@@ -160,6 +172,8 @@
             whole, stored.confirmed = decode(key, value, ListRecord)
             stored.version = whole.version
             stored.entries = whole.entries
+        elif key == PACE_KEY:
+            stored.pace, _ = decode(key, value, PaceRecord)
         elif key.startswith(SERVER_PREFIX):
             server, confirmed = decode(key, value, ServerRecord)
             stored.servers[server.id] = (server, confirmed)
--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -4,20 +4,26 @@
 
 import json
 import random
+import signal
 from dataclasses import replace
 from pathlib import Path
 
 import anyio
 import pytest
 
+from benchmarks.rebalance.model import Model
 from puffinford import Balancer
 from puffinford import interface as it
 from puffinford.cli import main
+from puffinford.core.clock import Clock
 from puffinford.fronts.channels import codec
 from puffinford.interface import ListKind, Server, ServerList
 from puffinford.operators import RebalanceSettings
 from puffinford.rebalance.service import Rebalancer, figures
+from puffinford.standins.servers import LineServer, Make
+from puffinford.standins.trace import Trace
 from tests.stage import ChannelPeer, Peer, Stage, call, echo, settings, stage
+from tests.test_start import Site
 
 pytestmark = pytest.mark.anyio
 
@@ -218,3 +224,84 @@
         assert (await call(port, "POST /admin/rebalance/start"))[0] == 409
         failed = await anyio.to_thread.run_sync(main, ["rebalance", "--address", "127.0.0.1:1", "show"])
         assert failed == 1
+
+
+def test_a_server_that_is_empty_because_it_was_slow_is_not_filled_again() -> None:
+    fleet = Fleet("ab", tells_delay=True)
+    for n in range(40):
+        fleet.ask(f"j{n}", n)
+    held = fleet.loads()["a"]
+    job = next(job for job, at in fleet.at.items() if at == "a")
+    fleet.tell(it.DelayNote(job, "a", 500.0))
+    assert fleet.loads()["a"] < 0.5 * held, "its clients were moved away"
+    for second in range(20):
+        fleet.pass_(1_000.0)
+        usable = {s.server: s.usable for s in fleet.balancer.survey(fleet.now)}
+        assert second >= 2 or not usable["a"]
+        for other in [job for job, at in fleet.at.items() if at == "b"][:3]:
+            fleet.tell(it.Relocate(other, "a", 500.0))
+        assert fleet.loads()["a"] <= 0.8 * held * 1.02**20 + 1.0, "no more than its room"
+
+
+async def test_a_place_kept_at_a_server_that_is_gone_costs_the_client_one_claim() -> None:
+    """Discovery is stale: the fresh server died half-way, and is listed still."""
+    async with stage() as here:
+        await here.server("s-1", echo)
+        client = await here.client(b"OPEN a 1 c=price-lookup,d=2000")
+        assert await client.line() == b"UP r1\r\n"
+        here.list_machine("s-2", 9)
+        assert here.exchange.relocate("a", "s-2", 2_000.0)
+        assert [await client.line(), await client.line()] == [b"MOVE\r\n", b"FIN"]
+        await client.fin()
+        again = await here.client(b"OPEN b 1 c=price-lookup,d=2000,again=1")
+        assert await again.line() == b"UP r1\r\n"
+        survey = {s.server: (s.flows, s.usable) for s in here.exchange.survey()}
+        assert survey == {"s-1": (1, True), "s-2": (0, False)}
+
+
+def test_many_balancers_at_once_do_not_flood_what_is_cold_and_swing_nothing_back() -> None:
+    """The model, small: three balancers that hear nothing of each other, a third of the servers cold."""
+    outcome = Model(9, 3, 900, seed=2).run(120.0)
+    assert outcome.ratios[0][1] > 1.4 and outcome.balanced_s < 60.0
+    assert outcome.fill < 1.0 and outcome.back == 0
+    assert outcome.moves <= 1.6 * outcome.least + 30
+
+
+async def test_a_reload_and_the_end_during_it_lose_nobody(tmp_path: Path) -> None:
+    async with stage() as here:
+        site = Site(here.tasks, tmp_path, 1)
+        site.operators.write_text(RAPID.format("on"))
+        async with site.program() as running:
+            port = await running.port(b"lines")
+            await running.logged(b"list=replace")
+            peers = []
+            for n in range(24):
+                peers.append(Peer(await anyio.connect_tcp("127.0.0.1", port)))
+                await peers[-1].say(b"OPEN %x %x c=price-lookup,d=400" % (n, n))
+                assert (await peers[-1].line()).startswith(b"UP ")
+            fresh = LineServer(
+                "s-9", Make(set_up=1.0), Clock(), Trace(Clock().now), random.Random(1), here.tasks
+            )
+            fresh.start()
+            site.discovery.put("s-9", addr=fresh.address)
+            await running.logged(b'event="rebalance move" .*to=s-9 .*moved=True')
+            site.operators.write_text(RAPID.format("off"))
+            running.process.send_signal(signal.SIGHUP)
+            await running.logged(b"event=reloaded")
+            site.operators.write_text(RAPID.format("on") + " bogus 1\n")
+            running.process.send_signal(signal.SIGHUP)
+            await running.logged(b'event="reload failed"')
+            running.process.send_signal(signal.SIGTERM)
+            for peer in peers:
+                assert await peer.line() == b"MOVE\r\n" and await peer.line() == b"FIN"
+                await peer.fin()
+            await running.logged(b"event=drained")
+            running.process.kill()
+
+
+RAPID = """section rebalance
+    enabled {}
+    settle 0ms
+    start-rate 50/s
+    most-rate 99/s
+"""
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -311,6 +311,26 @@
     again._store.close()
 
 
+def test_how_far_rebalancing_had_come_is_handed_on(tmp_path: Path) -> None:
+    path = tmp_path / "state"
+    heard: list[records.PaceRecord] = []
+    pace = records.PaceRecord(2.5, [(7, NOW, ("s-1",), "s-2")])
+    old = Keeper(
+        StateSettings(), (path, False), SettableClock(), list, lambda _: None, lambda: pace, lambda _: None
+    )
+    old.let_go()
+    assert old._store is not None
+    old._store.close()  # one process may not open a store twice
+    new = Keeper(
+        StateSettings(), (path, False), SettableClock(), list, lambda _: None, lambda: None, heard.append
+    )
+    assert new._store is not None
+    new.start(None)
+    new._store.let_go()
+    assert new._claim(new._store) and heard == [pace, pace]
+    new._store.close()
+
+
 def test_the_tools_show_move_verify_and_compact(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     path, other, text = tmp_path / "state", tmp_path / "other", str(tmp_path / "export.json")
     made = filled(path, 3)
