Use a list of seconds ago as if told now, and the platform's known list as its last

Claims at restored entries were cut after 400 ms although everybody came back at once and set-ups took long.

Change: nothing in a list of under 10 s has to prove itself, and known-age is 0 by default, for the platform's list is the balancer's last one. Hypothesis draws the same examples each time.

--- a/puffinford/operators/schema.py
+++ b/puffinford/operators/schema.py
@@ -55,7 +55,7 @@
     write_every: float = _time(500.0, 50.0, MIN, "changes are gathered for so long before a write")
     fresh: float = _time(MIN, 0.0, DAY, "a list no older is used almost as if told now")
     distrust: float = _time(DAY, 1_000.0, 365 * DAY, "a list older than this is tried one claim at a time")
-    known_age: float = _time(MIN, 0.0, 365 * DAY, "the age that the configuration's known list is given")
+    known_age: float = _time(0.0, 0.0, 365 * DAY, "the age that the configuration's known list is given")
     patience: float = _time(400.0, 50.0, 10_000.0, "for a claim at an entry of a fresh list")
     patience_old: float = _time(150.0, 50.0, 10_000.0, "for a claim at an entry of a list of no trust")
     learned_for: float = _time(MIN, 1_000.0, HOUR, "what was learned of a server counts no longer than this")
--- a/puffinford/state/recovery.py
+++ b/puffinford/state/recovery.py
@@ -129,8 +129,10 @@
         version = stored.version
     old = known_age if known_newer else stored_age
     terms = trust.terms(old, len(live), weights)
+    unproven = live if old > trust.AS_TOLD else frozenset()
     health = [] if stored is None else _health(stored, now, offset, weights)
-    restored = Restored(MachineList(version or 0, True, machines), live, terms.most, terms.patience, health)
+    listed = MachineList(version or 0, True, machines)
+    restored = Restored(listed, unproven, terms.most, terms.patience, health)
     source = "nothing" if not used else "known" if known_newer else "store"
     return Start(restored, version, source, old)
 
--- a/puffinford/state/trust.py
+++ b/puffinford/state/trust.py
@@ -7,6 +7,7 @@
 
 from puffinford.interface import Health
 
+AS_TOLD = 10_000.0  # a list no older than this is used as if told now: nothing in it has to prove itself
 SKEW = 5_000.0  # a time so little ahead of now is another machine's clock, not one that was set back
 AHEAD_AGE = 3_600_000.0  # the age given to what was kept at a time that has not come yet
 FEW_PART = 4.0  # of the entries, at most one in so many is tried at once
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,9 @@
 import pytest
+from hypothesis import settings
+
+# The same verdict each time: examples are drawn from the test itself, not from chance.
+settings.register_profile("same", derandomize=True, deadline=None)
+settings.load_profile("same")
 
 
 @pytest.fixture
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -205,6 +205,7 @@
         self.was: dict[str, list[str]] = {}
         self.capacity = {"a": 1.0, "b": 1.0, "c": 2.0, "d": 0.2}
         self.times: list[float] = []
+        self.moved_at: dict[str, float] = {}
         self.count = 0
 
     def seen(self) -> list[Place]:
@@ -261,6 +262,8 @@
         assert self.planner.moving and ratio > self.figures.stop_at
         self.was.setdefault(job, []).append(self.at[job])
         assert self.now - self.placed[job] >= self.figures.young
+        assert self.now - self.moved_at.get(job, float("-inf")) >= self.figures.rest, "twice within its rest"
+        self.moved_at[job] = self.now
         self.at[job] = target
         self.placed[job] = self.now
         self.times.append(self.now)
--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -6,11 +6,13 @@
 import random
 import signal
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 
 import anyio
 import pytest
 
+from benchmarks.rebalance import story
 from benchmarks.rebalance.model import Model
 from puffinford import Balancer
 from puffinford import interface as it
@@ -305,3 +307,10 @@
     start-rate 50/s
     most-rate 99/s
 """
+
+
+async def test_the_measured_story_in_short(tmp_path: Path) -> None:
+    """Two of ten servers restarted cold: what no run may show, whatever the machine's speed."""
+    result = await anyio.to_thread.run_sync(partial(story.run, True, tmp_path, 1, 60, 60_000.0, 3.0, 9.0))
+    assert not result.broken and not result.cold and not result.cut
+    assert result.moves > 0
