--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 build:
 	test -x .venv/bin/python || python3 -m venv .venv
 	.venv/bin/pip -q install --disable-pip-version-check -r requirements.txt
+	.venv/bin/python -m compileall -q puffinford
 
 dev:
 	test -x .ci-venv/bin/python || python3 -m venv .ci-venv
--- a/benchmarks/rebalance/story.py
+++ b/benchmarks/rebalance/story.py
@@ -92,6 +92,8 @@
             tasks.start_soon(sample)
             tasks.start_soon(fill)
             trace = await play.run()
+            while samples and samples[-1][0] > play.trace.ended_serving - 1_000.0:
+                samples.pop()  # the stage is being cleared
             tasks.cancel_scope.cancel()
         return trace
 
--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -329,6 +329,7 @@
         self._proving = 0  # and that are
         self._held: dict[str, Flow] = {}  # requests that wait for what those claims tell
         self._kept: dict[int, Flow] = {}  # places kept for moved clients, by key
+        self._favoured: frozenset[str] = frozenset()  # where clients that come back are sent first
         self._doubles = random.Random(seed ^ 0xD0)  # for queries, which must not change what is drawn next
         self._probe_credit = 0.0
         self._probing = False  # a round of probes is due
@@ -346,6 +347,7 @@
             it.Unproven: self._on_unproven,
             it.Learned: self._on_learned,
             it.Relocate: self._on_relocate,
+            it.Favour: self._on_favour,
             it.Inherited: self._on_inherited,
             it.ProbeResult: self._on_probe,
             it.PeerMessage: self._on_peer,
@@ -533,6 +535,23 @@
         self._occupy(kept, b)
         self._timers.at(self._now + event.hold, lambda: self._give_up(flow.key, kept))
 
+    def _on_favour(self, event: it.Favour) -> None:
+        self._favoured = event.servers
+
+    def _favourite(self, flow: Flow) -> Backend | None:
+        """The emptiest of the favoured servers that can take a client which has come back."""
+        fit = [
+            b
+            for ident in self._favoured
+            if (b := self._fleet.backends.get(ident)) is not None
+            and b.open
+            and self._usable(b)
+            and b.load <= self._room(b)
+            and flow.may_go_to(b, self._now)
+            and self._fits_cold(b)
+        ]
+        return min(fit, key=lambda b: (self._weight(b), b.reach), default=None)
+
     def _give_up(self, key: int | None, kept: Flow) -> Backend | None:
         """Release a place that was kept; where that was, if it still was."""
         if key is None or self._kept.get(key) is not kept:
@@ -955,6 +974,10 @@
         now = self._now
         if flow.place is not None and not flow.sent:
             return flow.place
+        if self._favoured and flow.came_back and not flow.sent:
+            favourite = self._favourite(flow)
+            if favourite is not None:
+                return favourite
         backend = self._trial(flow)
         if backend is not None:
             return backend
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -235,6 +235,10 @@
         job = self._jobs.get(ident)
         return job is None or job.ending is not None
 
+    def favour(self, servers: frozenset[str]) -> None:
+        """Clients that come back are sent to these servers first, until the next call."""
+        self._tell(it.Favour(servers))
+
     def cordon(self, servers: frozenset[str]) -> None:
         """These servers are out, and no others, whatever the machine list says."""
         self.cordoned = servers
--- a/puffinford/interface.py
+++ b/puffinford/interface.py
@@ -229,6 +229,16 @@
     hold: float
 
 
+@dataclass(slots=True)
+class Favour:
+    """Servers to which clients that come back are sent first, until the next such event; none ends it.
+
+    A client that another balancer moved has its place kept there, and may come here: it finds these instead.
+    """
+
+    servers: frozenset[str] = frozenset()
+
+
 @dataclass(slots=True)
 class Request:
     """A client wants a connection; it is owed one final answer within `left`."""
@@ -322,6 +332,7 @@
     | Unproven
     | Learned
     | Relocate
+    | Favour
     | Request
     | Inherited
     | Established
--- a/puffinford/rebalance/planner.py
+++ b/puffinford/rebalance/planner.py
@@ -237,6 +237,13 @@
             over.sort(key=lambda place: place.id != self._group[1])  # type: ignore[index]
         return over
 
+    def wanted(self) -> frozenset[str]:
+        """The servers under the band, while it moves: where clients that come back are best placed."""
+        if not self.moving or self.paused or not self.figures.enabled:
+            return frozenset()
+        line = self._mean * (2.0 - self.figures.stop_at)
+        return frozenset(p.id for p in self._places.values() if p.usable and self._full(p) < line)
+
     # What is chosen
 
     def choose(self, now: float, candidates: Sequence[Candidate], advise: Advise) -> Planned | None:
--- a/puffinford/rebalance/service.py
+++ b/puffinford/rebalance/service.py
@@ -54,6 +54,7 @@
         self._late_from = 0.0
         self._worth: dict[str, float] = {}
         self._told: Why | None = None
+        self._wanted: frozenset[str] = frozenset()
         self.take_settings(settings)
 
     def take_settings(self, settings: Settings) -> None:
@@ -117,6 +118,10 @@
             )
             log.info(event, extra={"ratio": round(planner.ratio, 2), "why": planner.why.value})
         self._told = why
+        wanted = planner.wanted() if why in (None, Why.PACE) else frozenset()
+        if wanted != self._wanted:
+            self._wanted = wanted
+            self._exchange.favour(wanted)
         made = 0
         while why is None and planner.pace.due(now) and self._one(now):
             made += 1
--- a/puffinford/standins/play.py
+++ b/puffinford/standins/play.py
@@ -214,6 +214,7 @@
             self.script.kinds, self.script.rate, self._front, self.clock, self.trace, self.rng, tasks
         )
         await self.clients.run(self.script.seconds * 1_000.0)
+        self.trace.ended_serving = self.trace.elapsed
 
     def _front(self) -> int | None:
         """Where the next client comes: any balancer that was not just seen dead."""
--- a/puffinford/standins/trace.py
+++ b/puffinford/standins/trace.py
@@ -50,6 +50,7 @@
         self._began = now()
         self.entries: list[Entry] = []
         self.began_serving = 0.0  # ms: when the first client could come
+        self.ended_serving = 0.0  # ms: when the last had come
 
     @property
     def elapsed(self) -> float:
--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -111,6 +111,22 @@
     assert one.at == other.at and one.loads() == other.loads()
 
 
+def test_clients_that_come_back_find_the_favoured_servers_and_others_the_ordinary_path() -> None:
+    """Two of three moved clients come back at another balancer, and most landed where it was full."""
+    fleet = Fleet("abcdefgh")
+    for n in range(80):
+        fleet.ask(f"j{n}", n)
+    fleet.tell(it.Favour(frozenset("c")))
+    for n in range(5):
+        fleet.ask(f"back{n}", 1_000 + n, came_back=True)
+        assert fleet.at[f"back{n}"] == "c"
+    fleet.tell(it.DelayNote("back0", "c", 900.0))
+    fleet.ask("late", 2_000, came_back=True)
+    assert fleet.at["late"] != "c", "not while it is slow"
+    fleet.tell(it.Favour())
+    assert fleet.balancer._favoured == frozenset()
+
+
 def test_a_cold_server_pays_for_moved_clients_from_the_same_budget() -> None:
     fleet = Fleet("a", warm_time=20_000.0, cold_from=0.1)
     for n in range(60):
