--- a/puffinford/cli/state.py
+++ b/puffinford/cli/state.py
@@ -192,7 +192,8 @@
 
 @state.command()
 @_names
-def verify(settings: Path, file: Path | None, name: str) -> None:
+@json_option
+def verify(settings: Path, file: Path | None, name: str, as_json: bool) -> None:
     """Read every record. Exit code 1 where one cannot be used."""
     path, _ = _place(settings, file, name)
     stored = _inspect(path)
@@ -201,6 +202,10 @@
         wrong.append(f"records of schema {stored.newer}, newer than {records.SCHEMA}")
     if stored.entries >= 0 and not stored.whole:
         wrong.append(f"{stored.entries} servers were listed, {stored.listed} are there")
+    if as_json:
+        counts = {"servers": len(stored.servers), "learned": len(stored.health)}
+        click.echo(json.dumps({"file": str(path), "sound": not wrong, "wrong": wrong, **counts}, indent=1))
+        return fail("", 1) if wrong else None
     if wrong:
         return fail("\n".join(f"{path}: {text}" for text in wrong), 1)
     free = show_size(store.free_space(path) // (1 << 20) * (1 << 20))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -354,6 +354,7 @@
     assert store.inspect(other).servers == store.inspect(path).servers
     assert run("compact", "--file", str(other))[0] == 0
     assert run("verify", "--file", str(other))[0] == 0
+    assert '"sound": true' in run("verify", "--file", str(other), "--json")[1]
     (tmp_path / "bad.json").write_text('{"format": "x"}')
     assert run("import", "--file", str(other), str(tmp_path / "bad.json"))[0] == 2
     raw = other.read_bytes()
