Show that a new version goes on with the rests of the old one; tell how many clients rest

Need: rebalancing during a change of versions has to keep its pace and leave alone whom the old version has moved; only the keeper's part of that was shown.

Change: a story with both versions as processes: the old one moves clients, the new one takes over the store, and its clients at rest are the old one's. /admin/rebalance and the command tell how many rest.

--- a/puffinford/cli/rebalance.py
+++ b/puffinford/cli/rebalance.py
@@ -50,7 +50,8 @@
         return
     click.echo(
         f"{told['state']}: {told['why']}; {told['ratio']:.2f} off the mean (1: none),"
-        f" {told['rate']:g} moves a second, {told['moves']} moved, {told['elsewhere']} seen no more here"
+        f" {told['rate']:g} moves a second, {told['moves']} moved,"
+        f" {told['clients_at_rest']} at rest, {told['elsewhere']} seen no more here"
     )
     for name, counts in (
         ("signals", told["signals"]),
--- a/puffinford/rebalance/service.py
+++ b/puffinford/rebalance/service.py
@@ -230,6 +230,7 @@
             "moves": planner.moves,
             "landed": dict(planner.landed),
             "elsewhere": planner.elsewhere,
+            "clients_at_rest": len(planner.rests(self._clock.now())),
             "signals": {signal.value: count for signal, count in planner.pace.counts.items()},
             "left_out": {why.value: count for why, count in planner.left_out.items()},
             "servers": [
--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -5,6 +5,7 @@
 import json
 import random
 import signal
+import socket
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
@@ -24,7 +25,7 @@
 from puffinford.rebalance.service import Rebalancer, figures
 from puffinford.standins.servers import LineServer, Make
 from puffinford.standins.trace import Trace
-from tests.stage import ChannelPeer, Peer, Stage, call, echo, settings, stage
+from tests.stage import ChannelPeer, Peer, Stage, call, echo, program, settings, stage
 from tests.test_start import Site
 
 pytestmark = pytest.mark.anyio
@@ -317,6 +318,45 @@
             running.process.kill()
 
 
+async def test_a_new_version_goes_on_with_the_rests_of_the_old_one(tmp_path: Path) -> None:
+    platform = socket.create_server(("127.0.0.1", 0))
+    port, fd = platform.getsockname()[1], platform.fileno()
+    (tmp_path / "tmp").mkdir()
+    async with stage() as here:
+        site = Site(here.tasks, tmp_path, 1)
+        site.tell(site.discovery.address, listen=f"127.0.0.1:{port}")
+        site.operators.write_text(RAPID.format("on"))
+        words = ("serve", "--settings", str(site.operators))
+        env = {"TMPDIR": str(tmp_path / "tmp"), "EDGE_SOCKET_FD": str(fd), "EDGE_MGMT": "127.0.0.1:0"}
+        async with program(site.config, *words, fds=[fd], **env) as old:
+            await old.logged(b"list=replace")
+            peers = []
+            for n in range(24):
+                peers.append(Peer(await anyio.connect_tcp("127.0.0.1", port)))
+                await peers[-1].say(b"OPEN %x %x c=price-lookup,d=400" % (n, n))
+                assert (await peers[-1].line()).startswith(b"UP ")
+            fresh = LineServer(
+                "s-9", Make(set_up=1.0), Clock(), Trace(Clock().now), random.Random(1), here.tasks
+            )
+            fresh.start()
+            site.discovery.put("s-9", addr=fresh.address)
+            await old.logged(b'event="rebalance move" .*to=s-9 .*moved=True')
+            async with program(site.config, *words, fds=[fd], **env) as new:
+                address = await new.port(b"management")
+                while (await call(address, "GET /admin/health"))[0] != 200:
+                    await anyio.sleep(0.01)
+                old.process.send_signal(signal.SIGTERM)
+                await new.logged(b'event="state writer"')
+                told = json.loads((await call(address, "GET /admin/rebalance"))[1])
+                assert told["clients_at_rest"] > 0 and told["moves"] == 0
+                assert told["rate"] <= 50.0, "it begins no faster than its start rate"
+                for peer in peers:
+                    await anyio.aclose_forcefully(peer.stream)
+                assert await old.process.wait() == 0
+                new.process.kill()
+    platform.close()
+
+
 RAPID = """section rebalance
     enabled {}
     settle 0ms
