--- a/puffinford/cli/state.py
+++ b/puffinford/cli/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import time
 from pathlib import Path
 from typing import Any
@@ -53,8 +54,6 @@
         raise
     if file is not None:
         return file, told
-    import os
-
     place = store_file(told, os.environ.get("TMPDIR"), name)
     if place is None:
         fail("no store: neither `directory` of section state nor TMPDIR is set; name one with --file")
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -134,6 +134,24 @@
     assert not pace.due(24_000.0) and pace.due(25_100.0)
 
 
+@pytest.mark.parametrize("look", [20.0, 200.0, 900.0])
+def test_moves_keep_to_the_rate_however_far_apart_the_looks_are(look: float) -> None:
+    pace = Pace(PaceFigures(start=2.0, most=2.0), random.Random(7))
+    now, times = 0.0, []
+    while now < 1_000_000.0:
+        now += look
+        while pace.due(now):
+            pace.made(now)
+            times.append(now)
+    assert 1_850 <= len(times) <= 2_150
+    times.clear()
+    now += 600_000.0
+    while pace.due(now):
+        pace.made(now)
+        times.append(now)
+    assert len(times) <= 12, "a long time without any is not made up for"
+
+
 def test_returns_and_refusals_count_once_and_only_for_moved_clients() -> None:
     made = planner()
     made.observe(0.0, places(a=30, b=5))
@@ -204,7 +222,6 @@
         self.placed: dict[str, float] = {}
         self.was: dict[str, list[str]] = {}
         self.capacity = {"a": 1.0, "b": 1.0, "c": 2.0, "d": 0.2}
-        self.times: list[float] = []
         self.moved_at: dict[str, float] = {}
         self.count = 0
 
@@ -257,8 +274,6 @@
     def move(self, job: str, target: str) -> None:
         ratio = self.planner.ratio
         assert target not in self.was.get(job, []), "there and back"
-        last = self.times[-1] if self.times else float("-inf")
-        assert self.now > last or self.planner.pace.rate > 5.0
         assert self.planner.moving and ratio > self.figures.stop_at
         self.was.setdefault(job, []).append(self.at[job])
         assert self.now - self.placed[job] >= self.figures.young
@@ -266,12 +281,9 @@
         self.moved_at[job] = self.now
         self.at[job] = target
         self.placed[job] = self.now
-        self.times.append(self.now)
 
     @invariant()
-    def never_over_the_rate(self) -> None:
-        recent = [at for at in self.times if at > self.now - 10_000.0]
-        assert len(recent) <= 10_000.0 / 100.0, "one a round at most"
+    def the_rate_stays_within_its_figures(self) -> None:
         assert self.figures.pace.least <= self.planner.pace.rate <= self.figures.pace.most
 
 
--- a/tests/test_proving.py
+++ b/tests/test_proving.py
@@ -210,4 +210,3 @@
     late = [at for at in calls if at > 20_000.0]
     fullest = max(sum(start <= at < start + 250.0 for at in late) for start in late)
     assert fullest <= 12 and max(calls) > 55_000.0
-    assert ServerState.LIVE
--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -286,6 +286,19 @@
     assert outcome.moves <= 1.6 * outcome.least + 30
 
 
+async def stand_and_add_a_server(here: Stage, site: Site, port: int) -> list[Peer]:
+    """Clients that stand, and then a fresh server on the list."""
+    peers = []
+    for n in range(24):
+        peers.append(Peer(await anyio.connect_tcp("127.0.0.1", port)))
+        await peers[-1].say(b"OPEN %x %x c=price-lookup,d=400" % (n, n))
+        assert (await peers[-1].line()).startswith(b"UP ")
+    fresh = LineServer("s-9", Make(set_up=1.0), Clock(), Trace(Clock().now), random.Random(1), here.tasks)
+    fresh.start()
+    site.discovery.put("s-9", addr=fresh.address)
+    return peers
+
+
 async def test_a_reload_and_the_end_during_it_lose_nobody(tmp_path: Path) -> None:
     async with stage() as here:
         site = Site(here.tasks, tmp_path, 1)
@@ -293,16 +306,7 @@
         async with site.program() as running:
             port = await running.port(b"lines")
             await running.logged(b"list=replace")
-            peers = []
-            for n in range(24):
-                peers.append(Peer(await anyio.connect_tcp("127.0.0.1", port)))
-                await peers[-1].say(b"OPEN %x %x c=price-lookup,d=400" % (n, n))
-                assert (await peers[-1].line()).startswith(b"UP ")
-            fresh = LineServer(
-                "s-9", Make(set_up=1.0), Clock(), Trace(Clock().now), random.Random(1), here.tasks
-            )
-            fresh.start()
-            site.discovery.put("s-9", addr=fresh.address)
+            peers = await stand_and_add_a_server(here, site, port)
             await running.logged(b'event="rebalance move" .*to=s-9 .*moved=True')
             site.operators.write_text(RAPID.format("off"))
             running.process.send_signal(signal.SIGHUP)
@@ -330,16 +334,7 @@
         env = {"TMPDIR": str(tmp_path / "tmp"), "EDGE_SOCKET_FD": str(fd), "EDGE_MGMT": "127.0.0.1:0"}
         async with program(site.config, *words, fds=[fd], **env) as old:
             await old.logged(b"list=replace")
-            peers = []
-            for n in range(24):
-                peers.append(Peer(await anyio.connect_tcp("127.0.0.1", port)))
-                await peers[-1].say(b"OPEN %x %x c=price-lookup,d=400" % (n, n))
-                assert (await peers[-1].line()).startswith(b"UP ")
-            fresh = LineServer(
-                "s-9", Make(set_up=1.0), Clock(), Trace(Clock().now), random.Random(1), here.tasks
-            )
-            fresh.start()
-            site.discovery.put("s-9", addr=fresh.address)
+            peers = await stand_and_add_a_server(here, site, port)
             await old.logged(b'event="rebalance move" .*to=s-9 .*moved=True')
             async with program(site.config, *words, fds=[fd], **env) as new:
                 address = await new.port(b"management")
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import signal
 import subprocess
 import sys
 import textwrap
@@ -387,4 +386,3 @@
     path.write_text("not a store at all")
     with pytest.raises(StoreFailed):
         open_store(path, SIZE, durable=False)
-    assert signal.getsignal(signal.SIGCHLD) is signal.SIG_DFL
--- a/tests/test_trust.py
+++ b/tests/test_trust.py
@@ -8,7 +8,7 @@
 from puffinford.core.values import Machine, MachineList
 from puffinford.interface import Health, Server, ServerState
 from puffinford.state import trust
-from puffinford.state.records import HealthRecord, ListRecord, ServerRecord, Stored
+from puffinford.state.records import HealthRecord, ServerRecord, Stored
 from puffinford.state.recovery import ListGuard, merge, to_health, to_health_record, to_machine, to_record
 
 LIVE, DRAINING, GONE = ServerState.LIVE, ServerState.DRAINING, ServerState.GONE
@@ -110,7 +110,6 @@
     assert merge(kept(7, 0.0, a="active"), None, NOW, 0.0, WEIGHTS, 0.0).version == 7
     assert merge(kept(7, 0.0, lost=1, a="active"), None, NOW, 0.0, WEIGHTS, 0.0).version is None
     assert merge(None, None, NOW, 0.0, WEIGHTS, 0.0).source == "nothing"
-    assert ListRecord(1, 2).entries == 2
 
 
 def test_an_older_answer_brings_its_bad_news_at_once_and_the_rest_when_said_twice() -> None:
