Share a cold server's budget by numbered turns that go round all balancers

Counted from the logs: each balancer held one saved send for it, and a shared event (most balancers restarted, servers drained together) made all of them spend it at once. The lines at fault are those of _fits_cold: credit up to 1 a balancer, started at random, and a rate of 40 a second for all by warmth whatever the server can take. Ruled out: a list told late (all senders knew of the start), retries (one claim a job), trials of unreachable servers.

Change: the settings tell the connections that the fleet carries (tenants' quotas, now decoded). From these, the warm-up and the told multiple comes the budget of a window. Its turns are numbered from the start that the list tells everyone, go round the balancers, and are lost when not used within a window. A client that meets a turn uses it whatever its group, while the server holds less than its part; a group passes over a cold server without a turn, so that its clients meet at the next one of its order and do not scatter over all.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -31,7 +31,6 @@
 SLOW = 3.0  # times the delay of its messages is over the shortest aim: a server is passed over
 COLD_SLOW = 1.5  # the same for a cold one
 SLOW_FOR = 3_000.0  # a note of slow messages comes each second while it lasts: three missed, it is over
-RATE_OVER = 20_000.0  # ends of own connections are averaged over this long, so that a burst counts little
 MOVE_PART = 0.7  # of the own connections of a late server, moved each note, shared by the late ones
 MOVE_REST = 2_000.0  # a client that came back is left alone this long: its move must pay first
 USED_FIELDS = ("x0", "utilization")  # reported load over capacity; the first can tell more than full
@@ -51,13 +50,11 @@
 EMPTY_OVER = 2_000.0  # the clients of a server that operators take out are moved within this, evenly
 EMPTY_STEP = 100.0
 GROUP_COST = 3.0  # mean connections that a server pays for each group that it holds any of
-COLD_RATE = (
-    40.0  # connections a second that all balancers together may bring a cold server, by its warmth ...
-)
-COLD_ROOM = 1.5  # ... while it holds no more than this part of what a warm one does, by its warmth
-ABLE_LEAST = 0.5  # of the servers, however few are warm
+CARRIES = 100.0  # connections that a warm server is taken to carry where the settings tell no quotas
+COLD_OVER = 1.5  # own load of a cold server, over its part by warmth, above which a turn there is left
+SLACK = 4.0  # times the budget told: it is the least a server can do, and chance is allowed for
+TURN_FOR = 1.0  # fall windows that a balancer's turn at a cold server lasts, if it has nobody to send at once
 HOLD = 2.0  # a request waits so many patiences for claims that prove restored entries, and no longer
-COLD_SHARE = 0.5  # part of a warm server's rate: other balancers' chance bursts need the other part
 
 _NEVER_RAN = frozenset((it.Result.FULL, it.Result.CONNECT_FAILED, it.Result.MOOT))
 
@@ -78,10 +75,10 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "away_at", "cell", "cold_from", "cordoned", "cordoned_at", "credit", "credit_at", "delay", "down",
+        "away_at", "cell", "cold_from", "cordoned", "cordoned_at", "credit", "credit_until", "delay", "down",
         "failures", "flows", "groups", "id", "late_at", "late_notes", "late_until", "listed", "load",
         "probed_at", "reach", "retry_at", "room", "room_at", "size", "slow_until", "started", "trial",
-        "unproven", "used", "used_at", "used_since", "zone",
+        "turn", "unproven", "used", "used_at", "used_since", "zone",
     )  # fmt: skip
 
     def __init__(self, server: it.Server) -> None:
@@ -115,19 +112,20 @@
         self.used_at = float("-inf")
         self.probed_at = float("-inf")
         self.cold_from: float | None = None  # when it started, while it may still be cold
-        self.credit = 0.0
-        self.credit_at = 0.0
+        self.turn = -1  # the last of this balancer's turns at it while it is cold ...
+        self.credit = 0.0  # ... the sends left of it ...
+        self.credit_until = 0.0  # ... until then
 
     @property
     def open(self) -> bool:
         """Whether new connections may go there at all."""
         return self.listed is it.ServerState.LIVE and not self.cordoned
 
-    def start_cold(self, since: float, now: float, credit: float) -> None:
+    def start_cold(self, since: float) -> None:
         """It has started, or may have: what was known of its health is over."""
         self.cold_from = since
-        self.credit = credit
-        self.credit_at = now
+        self.turn = -1
+        self.credit = 0.0
         self.down = False
         self.failures = 0
 
@@ -199,6 +197,7 @@
         self.order: list[Backend] = []  # this balancer's shuffle
         self.cordoned: frozenset[str] = frozenset()
         self.common: list[Backend] = []  # the shuffle common to all balancers, in which groups start
+        self.most = 0  # servers that were up together, at most
         self._subscribed = not settings.list_on_request
         self._asking = False
         self._failures = 0
@@ -206,6 +205,7 @@
 
     def configure(self, settings: it.Settings) -> None:
         self._settings = settings
+        self.most = 0
         self._shuffle()
 
     def take(self, event: it.ServerList, now: float) -> bool:
@@ -256,7 +256,7 @@
             backend.size = server.weight
             backend.started = max(server.started, backend.started)
         if restarted and server.started > 0 and now < server.started + self._settings.warm_time:
-            backend.start_cold(server.started, now, self._rng.random())
+            backend.start_cold(server.started)
         return True
 
     def cordon(self, servers: frozenset[str], now: float) -> tuple[list[Backend], list[Backend]]:
@@ -280,6 +280,7 @@
         clients would have no room there while others stand idle.
         """
         live = [b for b in self.backends.values() if b.open]
+        self.most = max(self.most, len(live))
         self.common = sorted(live, key=attrgetter("reach"))
         start = int((self._settings.me + 0.5) / self._settings.balancers * len(live)) % max(1, len(live))
         self.order = self.common[start:] + self.common[:start]
@@ -317,8 +318,6 @@
         self._load = 0.0  # of own connections and attempts
         self._class_load: dict[str, float] = {}  # mean load of a connection, where loads are told
         self._due: list[tuple[float, str]] = []  # trials of unreachable servers, by time
-        self._ends = 0.0  # connections that ended well of late, halved every RATE_OVER
-        self._ends_at = 0.0
         self._mean_load = 0.0
         self._failed = False
         self._failed_tries = 0
@@ -513,8 +512,6 @@
                 b.room_at = health.room_at
             if health.cold_from is not None and b.cold_from is None:
                 b.cold_from = health.cold_from
-                b.credit = 0.0
-                b.credit_at = now
         self._set_until = -1.0
 
     def _on_relocate(self, event: it.Relocate) -> None:
@@ -568,7 +565,8 @@
         for backend in back:
             # Operators restart what they take out, and no list may have told of it yet: it may be cold.
             told = backend.started > backend.cordoned_at
-            backend.start_cold(backend.started if told else self._now, self._now, 1.0)
+            backend.start_cold(backend.started if told else self._now)
+            backend.credit, backend.credit_until = 1.0, float("inf")
             backend.forget_load()
             # Guards against a server that stays unused: a cold one's part of the traffic would bring it
             # the first connection after a minute, and the working set may never reach it.
@@ -634,9 +632,7 @@
             # broke a connection or answered amiss, and soon took the next, was never away.
             away = backend.away_at is not None and self._now >= backend.away_at + AWAY_FOR
             if away and backend.cold_from is None and self._settings.warm_time > 0:
-                backend.cold_from = self._now
-                backend.credit = 0.0
-                backend.credit_at = self._now
+                backend.start_cold(self._now)
             self._set_until = -1.0
         backend.trial = False
         backend.away_at = None
@@ -669,9 +665,6 @@
                 self._schedule_trial(backend)
         if event.closed:
             del self._flows[flow.id]
-            if result is it.Result.OK:
-                self._ends = 1.0 + self._ends * 0.5 ** ((self._now - self._ends_at) / RATE_OVER)
-                self._ends_at = self._now
             return
         flow.standing = False
         if result not in _NEVER_RAN and flow.risk is None:
@@ -865,40 +858,45 @@
         return low + (1.0 - low) * max(age, 0.0) / self._settings.warm_time
 
     def _fits_cold(self, backend: Backend) -> bool:
-        """Whether this balancer's part of the cold server's budget has room for one more attempt.
-
-        Guards against all balancers together pushing over a server that has just started: each
-        sends it a fraction of what a warm server gets from it, scaled by the warmth. The rate is that
-        of connections that ended well: a storm of retries or of cut connections does not raise it.
-        A low rate is granted in any case while the server holds less than its part of the load, by its
-        warmth. This guards a new process, which has seen nothing end, against leaving all that is cold
-        unused: five of six servers stayed empty while the sixth was pushed under.
+        """Whether this balancer has a turn at a cold server now.
+
+        Guards against all balancers together pushing over a server that has just started: what a shared event
+        brings comes to all of them in one second, and credit that each had saved alone was spent at once.
+        The turns of the whole fleet are numbered from the start that the list tells, at the rate that its
+        budget allows, and go round the balancers; one that is not used in time is lost.
         """
         warmth = self._warmth(backend)
         if warmth >= 1.0:
             return True
-        members = len(self._fleet.order) if self._settings.grouped else len(self._set)
-        ends = self._ends * 0.5 ** ((self._now - self._ends_at) / RATE_OVER)
-        rate = COLD_SHARE * warmth * ends * 0.693 / RATE_OVER / max(1, members)
-        if not backend.flows or self._cost(backend) <= COLD_ROOM * warmth * self._warm_cost():
-            rate = max(rate, COLD_RATE * warmth / 1_000.0 / self._settings.balancers)
-        backend.credit = min(1.0, backend.credit + rate * (self._now - backend.credit_at))
-        backend.credit_at = self._now
+        balancers = self._settings.balancers
+        window = self._settings.fall_window
+        # The budget of a window has to hold the turns that fall into it and those left from before.
+        fill = self._carries() * warmth * window / self._settings.warm_time
+        budget = SLACK * self._settings.fall_multiple * fill
+        each = max(budget / (1.0 + TURN_FOR), budget - balancers)
+        age = self._now - (backend.cold_from or 0.0)
+        low = self._settings.cold_from
+        grown = (low + (warmth - low) / 2.0) / warmth  # mean warmth since the start, over the present one
+        given = each * grown * max(age, 0.0) / window  # turns of the whole fleet up to now
+        place = 1 + (self._settings.me + backend.reach) % balancers
+        turn = int((given - place) // balancers)
+        if turn > backend.turn:
+            backend.turn = turn
+            backend.credit = 1.0
+            backend.credit_until = self._now + window * (TURN_FOR - (given - place - turn * balancers) / each)
+        if self._now > backend.credit_until:
+            backend.credit = 0.0
         return backend.credit >= 1.0
 
+    def _carries(self) -> float:
+        """The connections that a warm server can be counted on to carry for all balancers together."""
+        told = sum(tenant.quota for tenant in self._settings.tenants)
+        return told / max(1, self._fleet.most) if told else CARRIES
+
     def _cost(self, backend: Backend) -> float:
         """The own load of a server, with what it pays for the groups that it holds."""
         return backend.load + GROUP_COST * len(backend.groups) if self._settings.grouped else backend.load
 
-    def _warm_cost(self) -> float:
-        """The own load that a warm server would have, were it spread by what each can do now."""
-        cost = able = 0.0
-        for backend in self._fleet.order:
-            cost += self._cost(backend)
-            able += 0.0 if backend.down else self._warmth(backend)
-        # Guards against pushing over all that is cold where little else is left to carry the load.
-        return cost / max(able, len(self._fleet.order) * ABLE_LEAST)
-
     # Picking
 
     def _usable(self, backend: Backend) -> bool:
@@ -953,7 +951,11 @@
         most = max(GROUP_ROOM, GROUP_OVER * self._load / size)
         for step in range(size):
             backend = common[(start + step) % size]
-            if self._usable(backend) and backend.load <= min(most, self._room(backend)):
+            if (
+                self._usable(backend)
+                and backend.load <= min(most, self._room(backend))
+                and (backend.cold_from is None or self._fits_cold(backend))
+            ):
                 chosen.append(backend)
                 if len(chosen) >= want:
                     break
@@ -979,6 +981,9 @@
             if favourite is not None:
                 return favourite
         backend = self._trial(flow)
+        if backend is not None:
+            return backend
+        backend = self._turn_at_cold(flow)
         if backend is not None:
             return backend
         if self._settings.grouped and flow.group is not None:
@@ -1010,6 +1015,26 @@
                 slow = backend
         return slow or shaken
 
+    def _turn_at_cold(self, flow: Flow) -> Backend | None:
+        """A cold server at which this balancer has a turn now, and that holds less than its part.
+
+        Guards against turns that pass unused, for few clients of a thin stream belong there by their group:
+        most servers were replaced, and the rest drowned beside new ones that stood nearly empty.
+        """
+        common = self._fleet.common
+        size = len(common)
+        if flow.sent or not size:
+            return None
+        start = int(mixed(flow.group) * size) if flow.group is not None else 0
+        part = COLD_OVER * max(1.0, self._load / size)
+        for step in range(size):
+            b = common[(start + step) % size]
+            if b.cold_from is None or not self._usable(b) or b.load > part * self._warmth(b):
+                continue
+            if b.load <= self._room(b) and flow.may_go_to(b, self._now) and self._fits_cold(b):
+                return b
+        return None
+
     def _compare(self, flow: Flow, entries: list[Backend]) -> Backend | None:
         """The head against one random other: fewer own open connections win, ties to the head."""
         now = self._now
--- a/puffinford/codec.py
+++ b/puffinford/codec.py
@@ -184,7 +184,8 @@
             )
         )
     tenants = []
-    for entry in _listing(event, facts, "customers"):
+    quotas = _row("hello.facts.domain", domain, "tenant_quota_connections") or []
+    for index, entry in enumerate(_listing(event, facts, "customers")):
         where = f"{event}.customers"
         if type(entry) is not dict:
             raise _bad(event, "customers", facts)
@@ -193,6 +194,7 @@
                 name=text(where, entry, "name"),
                 share=_number_or(where, entry, "share", 0.0),
                 quota_per_s=_number_or(where, entry, "quota_per_s", 0.0),
+                quota=quotas[index] if index < len(quotas) else 0.0,
             )
         )
     told = _flag("hello.facts.permissions", permissions, "retry_after")
--- a/puffinford/interface.py
+++ b/puffinford/interface.py
@@ -83,6 +83,7 @@
     name: str
     share: float = 0.0
     quota_per_s: float = 0.0
+    quota: float = 0.0  # open connections within its share, at all balancers; 0: not told
 
 
 @dataclass(slots=True)
