Keep groups together among many balancers, and relieve late servers in parts

Every server pays three mean loads for each group it holds any of, so 160 connections with 70 pairs cost more than twice as much as with 14; four survivors that could have carried all stayed late for ten seconds. What spread them: each balancer put a dead home's group on two servers, went on by its own order when the group's were full, and at a late note moved its one connection, which was all of them. In the common order all groups of a lost zone followed to one server: 93 of 164 connections.

Change, where a balancer's part of what a server carries is under six connections: a group has a shuffle of its own, the same at every balancer, is put on no second server for the sake of a dead one, and goes on along that shuffle; a late note moves a part by chance; a late server's room falls with each note, and a part of one connection is a chance drawn once a note.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -11,10 +11,10 @@
 import heapq
 import random
 from collections.abc import Callable
-from hashlib import blake2b
 from operator import attrgetter
 
 from puffinford import interface as it
+from puffinford.hashing import mixed, stable_hash
 from puffinford.timers import INSTANT, Timers
 
 PREFIX = 3  # entries of the working set where balancers far outnumber servers
@@ -31,7 +31,9 @@
 SLOW = 3.0  # times the delay of its messages is over the shortest aim: a server is passed over
 COLD_SLOW = 1.5  # the same for a cold one
 SLOW_FOR = 3_000.0  # a note of slow messages comes each second while it lasts: three missed, it is over
-MOVE_PART = 0.7  # of the own connections of a late server, moved each note, shared by the late ones
+MOVE_PART = 0.7  # of the own connections of a late server, moved each note, shared by the late ones ...
+MOVE_THIN = 0.35  # ... and where views are thin: all that hold any are told together, and again next second
+THIN = 6.0  # own part of what a server carries, in connections, under which one connection is a large step
 MOVE_REST = 2_000.0  # a client that came back is left alone this long: its move must pay first
 USED_FIELDS = ("x0", "utilization")  # reported load over capacity; the first can tell more than full
 FULL_FROM = 0.95  # a server that uses this much of its capacity is passed over ...
@@ -52,30 +54,20 @@
 GROUP_COST = 3.0  # mean connections that a server pays for each group that it holds any of
 CARRIES = 100.0  # connections that a warm server is taken to carry where the settings tell no quotas
 COLD_OVER = 1.5  # own load of a cold server, over its part by warmth, above which a turn there is left
-SLACK = 4.0  # times the budget told: it is the least a server can do, and chance is allowed for
+SLACK = 6.0  # times the budget told: it is the least a server can do, and chance is allowed for
 TURN_FOR = 1.0  # fall windows that a balancer's turn at a cold server lasts, if it has nobody to send at once
+ORDERS = 1_000  # groups whose shuffle is remembered until the list changes
 HOLD = 2.0  # a request waits so many patiences for claims that prove restored entries, and no longer
 
 _NEVER_RAN = frozenset((it.Result.FULL, it.Result.CONNECT_FAILED, it.Result.MOOT))
 
 
-def stable_hash(text: str) -> int:
-    """The same number in every process, unlike hash()."""
-    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
-
-
-def mixed(number: int) -> float:
-    """A number below 1, spread evenly whatever pattern the keys have."""
-    number = (number ^ (number >> 31)) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
-    number = (number ^ (number >> 29)) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
-    return (number ^ (number >> 32)) / 2.0**64
-
-
 class Backend:
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "away_at", "cell", "cold_from", "cordoned", "cordoned_at", "credit", "credit_until", "delay", "down",
+        "away_at", "cell", "chance", "cold_from", "cordoned", "cordoned_at", "credit", "credit_until",
+        "delay", "down",
         "failures", "flows", "groups", "id", "late_at", "late_notes", "late_until", "listed", "load",
         "probed_at", "reach", "retry_at", "room", "room_at", "size", "slow_until", "started", "trial",
         "turn", "unproven", "used", "used_at", "used_since", "zone",
@@ -105,6 +97,7 @@
         self.late_at = float("-inf")
         self.room = float("inf")  # own load that it can carry, as late messages have shown ...
         self.room_at = float("-inf")  # ... at that time
+        self.chance = 0.0  # what a part of one connection has to come to, where views are thin
         self.late_notes = 0  # notes of late messages in a row
         self.delay = 0.0
         self.used = 0.0  # reported load over capacity
@@ -131,6 +124,7 @@
 
     def forget_load(self) -> None:
         self.room = float("inf")
+        self.chance = 0.0
         self.room_at = self.late_at = float("-inf")
         self.slow_until = self.late_until = self.delay = 0.0
         self.late_notes = 0
@@ -196,7 +190,8 @@
         self.backends: dict[str, Backend] = {}
         self.order: list[Backend] = []  # this balancer's shuffle
         self.cordoned: frozenset[str] = frozenset()
-        self.common: list[Backend] = []  # the shuffle common to all balancers, in which groups start
+        self.common: list[Backend] = []  # the shuffle common to all balancers
+        self._orders: dict[int, list[Backend]] = {}  # those of groups
         self.most = 0  # servers that were up together, at most
         self._subscribed = not settings.list_on_request
         self._asking = False
@@ -282,9 +277,39 @@
         live = [b for b in self.backends.values() if b.open]
         self.most = max(self.most, len(live))
         self.common = sorted(live, key=attrgetter("reach"))
+        self._orders.clear()
         start = int((self._settings.me + 0.5) / self._settings.balancers * len(live)) % max(1, len(live))
         self.order = self.common[start:] + self.common[:start]
 
+    @property
+    def carries(self) -> float:
+        """The connections that a warm server can be counted on to carry for all balancers together."""
+        told = sum(tenant.quota for tenant in self._settings.tenants)
+        return told / max(1, self.most) if told else CARRIES
+
+    @property
+    def thin(self) -> bool:
+        """Whether this balancer sees so little of each server that its own steps are all or nothing."""
+        return self.carries < THIN * self._settings.balancers
+
+    def group_order(self, group: int) -> list[Backend]:
+        """The servers in a group's order, the same at every balancer.
+
+        Among many balancers each group has a shuffle of its own. Guards the server that follows in a
+        common one against all the groups of a zone that is lost: 93 of 164 connections met at one of five.
+        """
+        order = self._orders.get(group)
+        if order is None:
+            if self.thin:
+                order = sorted(self.common, key=lambda b: mixed(group ^ b.reach))
+            else:
+                start = int(mixed(group) * len(self.common))
+                order = self.common[start:] + self.common[:start]
+            if len(self._orders) >= ORDERS:
+                del self._orders[next(iter(self._orders))]
+            self._orders[group] = order
+        return order
+
     def _ask_later(self) -> None:
         # Guards against all balancers asking one list service at once, at the start and after an
         # outage: full jitter, and never longer unasked than the rules allow.
@@ -400,19 +425,10 @@
         for b in self._fleet.backends.values():
             failures = b.failures if b.down else 0
             room = b.room if now < b.room_at + ROOM_FOR else None
-            if (
-                failures
-                or room is not None
-                or b.cold_from is not None
-                or max(b.slow_until, b.late_until) > now
-            ):
-                late = max(b.late_at, 0.0)
-                health = it.Health(
-                    b.id, now, failures, b.retry_at, b.away_at, b.slow_until, late, b.delay, room
-                )
-                health.room_at = max(b.room_at, 0.0)
-                health.cold_from = b.cold_from
-                told.append(health)
+            busy = max(b.slow_until, b.late_until) > now
+            if failures or room is not None or b.cold_from is not None or busy:
+                health = (b.id, now, failures, b.retry_at, b.away_at, b.slow_until, max(b.late_at, 0.0))
+                told.append(it.Health(*health, b.delay, room, max(b.room_at, 0.0), b.cold_from))
         return told
 
     def survey(self, now: float) -> list[it.Survey]:
@@ -421,7 +437,7 @@
         told = []
         for b in self._fleet.backends.values():
             size = b.size if self._settings.sized and b.size > 0 else 1.0
-            usable = b.open and self._usable(b) and not b.unproven and b.load <= self._room(b)
+            usable = b.open and self._usable(b) and not b.unproven and self._has_room(b)
             strained = b.down or b.late_until > now
             capacity = size * self._warmth(b) if b.open else 0.0
             told.append(it.Survey(b.id, self._cost(b), capacity, usable, strained, len(b.flows)))
@@ -519,7 +535,7 @@
         b = self._fleet.backends.get(event.server)
         if flow is None or not flow.standing or flow.key is None or b is None or flow.key in self._kept:
             return
-        if not (b.open and self._usable(b) and b.load <= self._room(b) and self._fits_cold(b)):
+        if not (b.open and self._usable(b) and self._has_room(b) and self._fits_cold(b)):
             return
         if b.cold_from is not None:
             b.credit -= 1.0
@@ -543,7 +559,7 @@
             if (b := self._fleet.backends.get(ident)) is not None
             and b.open
             and self._usable(b)
-            and b.load <= self._room(b)
+            and self._has_room(b)
             and flow.may_go_to(b, self._now)
             and self._fits_cold(b)
         ]
@@ -697,7 +713,13 @@
             backend.late_notes = 0
             backend.late_until = 0.0
             return
-        backend.room = min(self._room(backend), max(1.0, ROOM_CUT * backend.load))
+        if self._fleet.thin:
+            # Guards a late server against one more from each of many: a room under one is a chance, drawn
+            # once a note, for with one a request the second or third of them would find it.
+            backend.room = ROOM_CUT * min(self._room(backend), max(1.0, backend.load))
+            backend.chance = self._rng.random()
+        else:
+            backend.room = min(self._room(backend), max(1.0, ROOM_CUT * backend.load))
         backend.room_at = self._now
         # One late note can be a pause; two in a row, a second apart, are more work than it can do.
         backend.late_notes = backend.late_notes + 1 if backend.late_at > self._now - SLOW_FOR else 1
@@ -730,7 +752,11 @@
         ]
         moved.sort(key=lambda flow: (flow.cls.message_aim, -flow.load))
         late = sum(b.late_at > self._now - SLOW_FOR for b in self._fleet.order)
-        for flow in moved[: max(1, int(MOVE_PART * len(backend.flows) / max(1, late)))]:
+        number = max(1.0, MOVE_PART * len(backend.flows) / max(1, late))
+        if self._fleet.thin:
+            # Guards against a step that each of many takes for its one connection: all of them moved all.
+            number = MOVE_THIN * len(backend.flows) / max(1, late) + self._rng.random()
+        for flow in moved[: int(number)]:
             self._close(flow)
 
     def _on_left(self, event: it.ClientLeft) -> None:
@@ -871,7 +897,7 @@
         balancers = self._settings.balancers
         window = self._settings.fall_window
         # The budget of a window has to hold the turns that fall into it and those left from before.
-        fill = self._carries() * warmth * window / self._settings.warm_time
+        fill = self._fleet.carries * warmth * window / self._settings.warm_time
         budget = SLACK * self._settings.fall_multiple * fill
         each = max(budget / (1.0 + TURN_FOR), budget - balancers)
         age = self._now - (backend.cold_from or 0.0)
@@ -888,11 +914,6 @@
             backend.credit = 0.0
         return backend.credit >= 1.0
 
-    def _carries(self) -> float:
-        """The connections that a warm server can be counted on to carry for all balancers together."""
-        told = sum(tenant.quota for tenant in self._settings.tenants)
-        return told / max(1, self._fleet.most) if told else CARRIES
-
     def _cost(self, backend: Backend) -> float:
         """The own load of a server, with what it pays for the groups that it holds."""
         return backend.load + GROUP_COST * len(backend.groups) if self._settings.grouped else backend.load
@@ -909,6 +930,10 @@
         grown: float = ROOM_GROWTH ** ((self._now - backend.room_at) / 1_000.0)
         return backend.room * grown
 
+    def _has_room(self, backend: Backend) -> bool:
+        """Whether it can be counted on to carry one more; a part of one is a chance."""
+        return backend.load + backend.chance <= self._room(backend)
+
     def _working_set(self) -> list[Backend]:
         """The short prefix of reachable entries; cold ones come on top, they can take only little."""
         now = self._now
@@ -939,28 +964,24 @@
         It is as long as the group's part of the own connections asks for, so that a large group does
         not fill one server; each balancer starts at its own slice of it.
         """
-        common = self._fleet.common
-        size = len(common)
+        order = self._fleet.group_order(group)
+        size = len(order)
         if not size:
-            return common
+            return order
         mine = self._groups.get(group, 0) + 1
         part = mine / (len(self._flows) + GROUP_PRIOR)
         want = max(1, min(size, round(part * size)))
-        start = int(mixed(group) * size)
         chosen: list[Backend] = []
         most = max(GROUP_ROOM, GROUP_OVER * self._load / size)
-        for step in range(size):
-            backend = common[(start + step) % size]
-            if (
-                self._usable(backend)
-                and backend.load <= min(most, self._room(backend))
-                and (backend.cold_from is None or self._fits_cold(backend))
-            ):
+        for step, backend in enumerate(order):
+            fits = backend.cold_from is None or self._fits_cold(backend)
+            if fits and self._usable(backend) and backend.load <= most and self._has_room(backend):
                 chosen.append(backend)
                 if len(chosen) >= want:
                     break
-            elif step < want:
-                # Guards the next server against all the clients of one that is sick.
+            elif step < want and not self._fleet.thin:
+                # Guards the next server against all the clients of one that is sick. Among many balancers
+                # every server would come to hold some of every group, and pay for each.
                 want += 1
         first = self._settings.me * len(chosen) // self._settings.balancers
         return chosen[first:] + chosen[:first]
@@ -991,6 +1012,10 @@
             chosen = self._compare(flow, entries)
             if chosen is not None:
                 return chosen
+            if self._fleet.thin:
+                for backend in self._fleet.group_order(flow.group):
+                    if self._usable(backend) and self._compare(flow, [backend]):
+                        return backend
         chosen = self._compare(flow, self._working_set())
         if chosen is not None:
             return chosen
@@ -1007,9 +1032,9 @@
                 # One whose trials fail too is no better than none.
                 if backend.away_at is None and backend.failures < 3 and not backend.trial and shaken is None:
                     shaken = backend
-            elif backend.slow_until <= now:
+            elif backend.slow_until <= now and (not self._fleet.thin or self._has_room(backend)):
                 return backend
-            elif backend.load <= self._room(backend) and (slow is None or backend.delay < slow.delay):
+            elif self._has_room(backend) and (slow is None or backend.delay < slow.delay):
                 # Guards the clients of a late server against all that finds no room elsewhere: a client
                 # that is told when to come back finds some; past its room the server serves nobody in time.
                 slow = backend
@@ -1021,17 +1046,14 @@
         Guards against turns that pass unused, for few clients of a thin stream belong there by their group:
         most servers were replaced, and the rest drowned beside new ones that stood nearly empty.
         """
-        common = self._fleet.common
-        size = len(common)
-        if flow.sent or not size:
+        order = self._fleet.common if flow.group is None else self._fleet.group_order(flow.group)
+        if flow.sent or not order:
             return None
-        start = int(mixed(flow.group) * size) if flow.group is not None else 0
-        part = COLD_OVER * max(1.0, self._load / size)
-        for step in range(size):
-            b = common[(start + step) % size]
+        part = COLD_OVER * max(1.0, self._load / len(order))
+        for b in order:
             if b.cold_from is None or not self._usable(b) or b.load > part * self._warmth(b):
                 continue
-            if b.load <= self._room(b) and flow.may_go_to(b, self._now) and self._fits_cold(b):
+            if self._has_room(b) and flow.may_go_to(b, self._now) and self._fits_cold(b):
                 return b
         return None
 
@@ -1044,7 +1066,7 @@
             for b in entries
             if (b.cold_from is None or self._fits_cold(b))
             and b not in tried
-            and b.load <= self._room(b)
+            and self._has_room(b)
             and flow.may_go_to(b, now)
             and (not b.unproven or self._may_prove(flow, b))
         ]
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -15,7 +15,7 @@
 import anyio.abc
 
 from puffinford import interface as it
-from puffinford.balance import Balancer, stable_hash
+from puffinford.balance import Balancer
 from puffinford.core.clock import Clock
 from puffinford.core.delays import DelayMeter, Unanswered
 from puffinford.core.figures import Count, Figures
@@ -38,6 +38,7 @@
     SubmitterLeg,
     Up,
 )
+from puffinford.hashing import stable_hash
 
 log = logging.getLogger(__name__)
 
--- /dev/null
+++ b/puffinford/hashing.py
@@ -0,0 +1,17 @@
+"""Numbers that are the same in every process. They decide nothing."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+
+def stable_hash(text: str) -> int:
+    """The same 64-bit number in every process, unlike hash()."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def mixed(number: int) -> float:
+    """A number from 0 to below 1, spread evenly whatever pattern the keys have (splitmix64's finalizer)."""
+    number = (number ^ (number >> 31)) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
+    number = (number ^ (number >> 29)) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
+    return (number ^ (number >> 32)) / 2.0**64
