--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build: what run and sim need; test, lint: what CI checks; run: one balancer by $EDGE_CONFIG; demo: ten seconds of a
 # small fleet round one balancer; bench-NAME: a measurement, whose last line is `bench NAME key=value ...`
-.PHONY: build dev test lint run demo bench-start bench-rebalance
+.PHONY: build dev test lint run demo bench-start bench-rebalance bench-fleet
 
 build:
 	test -x .venv/bin/python || python3 -m venv .venv
@@ -32,3 +32,6 @@
 
 bench-rebalance: build
 	.venv/bin/python -m benchmarks.rebalance
+
+bench-fleet: build
+	.venv/bin/python -m benchmarks.fleet
--- /dev/null
+++ b/puffinford/standins/fleet.py
@@ -0,0 +1,188 @@
+"""Many decision modules side by side in settable time, under one story. No sockets, no clock, seeded.
+
+Each balancer is the real module; servers only stand or do not, so nothing here tells how late they would be.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+from puffinford import Balancer
+from puffinford.interface import (
+    Action,
+    Attempt,
+    Established,
+    ListKind,
+    Move,
+    Outcome,
+    Refuse,
+    Request,
+    RequestClass,
+    Result,
+    Server,
+    ServerList,
+    ServerState,
+    SetTimer,
+    Settings,
+    Subscribe,
+    Tenant,
+    Timer,
+)
+
+CARRIES = 70.0  # connections that the settings tell for each server
+
+
+@dataclass(slots=True)
+class Open:
+    """A connection that stands."""
+
+    balancer: int
+    server: str
+    group: int
+
+
+class Fleet:
+    """Balancers that hear nothing of each other, and what they send to each server."""
+
+    def __init__(self, servers: int, balancers: int, seed: int, *, on_request: bool = False) -> None:
+        self.now = 1_000_000.0
+        self.rng = random.Random(seed)
+        self.servers = [Server(f"s-{seed}-{n}") for n in range(servers)]
+        self.sends: list[tuple[float, int, str]] = []  # time in ms, balancer, server
+        self.calls: list[float] = []  # when lists were asked for
+        self.standing: dict[str, Open] = {}
+        self.refused = 0
+        self.claims = 0
+        self.dead: set[str] = set()
+        self.cpu = 0.0  # seconds that the modules took ...
+        self.events = 0  # ... for so many events
+        self._count = 0
+        self._timers: list[tuple[float, int, int]] = []
+        self.settings = [
+            Settings(
+                classes=[RequestClass("safe", 2_000.0, 300.0, message_aim=60.0)],
+                tenants=[Tenant("all", 1.0, quota=CARRIES * servers)],
+                me=me,
+                balancers=balancers,
+                grouped=True,
+                list_on_request=on_request,
+                max_attempts=4,
+                max_retry_after=1_500.0,
+                cold_from=0.13,
+                warm_time=23_000.0,
+                fall_window=1_000.0,
+            )
+            for me in range(balancers)
+        ]
+        self.balancers: list[Balancer] = []
+        for me in range(balancers):
+            self.balancers.append(Balancer(self.settings[me], seed * 1_000 + me))
+            self.handle(me, ServerList(ListKind.REPLACE, self.servers))
+
+    def handle(self, me: int, event: object) -> list[Action]:
+        """Give one balancer one event, and look at what it asks for besides placing."""
+        began = time.process_time()
+        actions = self.balancers[me].handle(self.now, [event])  # type: ignore[list-item]
+        self.cpu += time.process_time() - began
+        self.events += 1
+        for action in actions:
+            if isinstance(action, Subscribe):
+                self.calls.append(self.now)
+            elif isinstance(action, SetTimer):
+                heapq.heappush(self._timers, (self.now + action.delay, me, action.token))
+            elif isinstance(action, Move):
+                self.standing.pop(action.id, None)
+        return actions
+
+    def advance(self, until: float) -> None:
+        """Let time pass; the wake-ups that modules asked for come in their order."""
+        while self._timers and self._timers[0][0] <= until:
+            at, me, token = heapq.heappop(self._timers)
+            self.now = max(self.now, at)
+            self.handle(me, Timer(token))
+        self.now = until
+
+    def tell(self, servers: list[Server], within: float = 0.0) -> None:
+        """All balancers hear of changes, each at a time of its own within so many ms."""
+        start = self.now
+        times = sorted((self.rng.random() * within, me) for me in range(len(self.balancers)))
+        for after, me in times:
+            self.advance(start + after)
+            self.handle(me, ServerList(ListKind.UPDATE, servers))
+
+    def restart(self, me: int, known: list[Server]) -> None:
+        """One balancer dies and starts anew from the list that it last had; its clients are cut off."""
+        for ident in [ident for ident, held in self.standing.items() if held.balancer == me]:
+            del self.standing[ident]
+        self._count += 1
+        self.balancers[me] = Balancer(self.settings[me], self._count)
+        self.handle(me, ServerList(ListKind.RESTORED, known))
+
+    def lose(self, servers: set[str]) -> int:
+        """Servers die with what stands there; tells how many clients were cut off."""
+        self.dead |= servers
+        cut = [ident for ident, held in self.standing.items() if held.server in servers]
+        for ident in cut:
+            held = self.standing.pop(ident)
+            self.handle(held.balancer, Outcome(ident, 0, held.server, Result.RESET, 0.0, True))
+        return len(cut)
+
+    def arrive(self, clients: int, over: float, groups: int) -> None:
+        """So many clients over so many ms, at any balancer; a claim at a dead server cannot connect."""
+        start = self.now
+        for after in sorted(self.rng.random() * over for _ in range(clients)):
+            self.advance(start + after)
+            self.place(self.rng.randrange(groups) * 0x9E3779B97F4A7C15)
+        self.advance(start + over)
+
+    def place(self, group: int) -> None:
+        """One client: claims until one stands or the balancer turns it away."""
+        me = self.rng.randrange(len(self.balancers))
+        self._count += 1
+        ident = f"r{self._count}"
+        actions = self.handle(me, Request(ident, "safe", 2_000.0, group=group))
+        for number in range(5):
+            sent = next((action for action in actions if isinstance(action, Attempt)), None)
+            if sent is None:
+                self.refused += any(isinstance(action, Refuse) for action in actions)
+                return
+            self.claims += 1
+            if sent.server not in self.dead:
+                self.sends.append((self.now, me, sent.server))
+                self.standing[ident] = Open(me, sent.server, group)
+                self.handle(me, Established(ident, number, sent.server, 5.0))
+                return
+            actions = self.handle(me, Outcome(ident, number, sent.server, Result.CONNECT_FAILED, 0.0))
+
+    # What came of it
+
+    def peak(self, server: str, window: float = 1_000.0) -> int:
+        """The most openings at a server in any window of so many ms."""
+        times = [at for at, _, to in self.sends if to == server]
+        return max((sum(at <= t < at + window for t in times) for at in times), default=0)
+
+    def call_peak(self, window: float = 250.0) -> int:
+        """The most calls for lists in any window of so many ms."""
+        return max((sum(at <= t < at + window for t in self.calls) for at in self.calls), default=0)
+
+    def held(self) -> Counter[str]:
+        """Connections that stand at each server."""
+        return Counter(held.server for held in self.standing.values())
+
+    def pairs(self) -> int:
+        """Pairs of a server and a group that it holds any of: what servers pay for."""
+        return len({(held.server, held.group) for held in self.standing.values()})
+
+
+def renew(servers: list[Server], at: float) -> list[Server]:
+    """The same servers as a list tells them after a start at that time, in ms."""
+    return [Server(server.id, started=at) for server in servers]
+
+
+def gone(servers: list[Server]) -> list[Server]:
+    """The same servers as a list tells their end."""
+    return [Server(server.id, state=ServerState.GONE) for server in servers]
