Refuse quotas that are no number, bear a fall window of 0, reckon shares once a list

Need: found on reading the change again. The quotas, newly decoded, were taken unchecked: a negative one gave cold servers a budget below 0. A fall window of 0, which the settings may tell, divided by zero at the first cold server. What a server carries was summed anew at each look at a cold server and at each entry of a group's order.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -193,6 +193,8 @@
         self.common: list[Backend] = []  # the shuffle common to all balancers
         self._orders: dict[int, list[Backend]] = {}  # those of groups
         self.most = 0  # servers that were up together, at most
+        self.carries = CARRIES  # connections that a warm one can be counted on to carry, for all balancers
+        self.thin = False  # this balancer sees so little of each that its own steps are all or nothing
         self._subscribed = not settings.list_on_request
         self._asking = False
         self._failures = 0
@@ -276,22 +278,14 @@
         """
         live = [b for b in self.backends.values() if b.open]
         self.most = max(self.most, len(live))
+        told = sum(tenant.quota for tenant in self._settings.tenants)
+        self.carries = told / max(1, self.most) if told else CARRIES
+        self.thin = self.carries < THIN * self._settings.balancers
         self.common = sorted(live, key=attrgetter("reach"))
         self._orders.clear()
         start = int((self._settings.me + 0.5) / self._settings.balancers * len(live)) % max(1, len(live))
         self.order = self.common[start:] + self.common[:start]
 
-    @property
-    def carries(self) -> float:
-        """The connections that a warm server can be counted on to carry for all balancers together."""
-        told = sum(tenant.quota for tenant in self._settings.tenants)
-        return told / max(1, self.most) if told else CARRIES
-
-    @property
-    def thin(self) -> bool:
-        """Whether this balancer sees so little of each server that its own steps are all or nothing."""
-        return self.carries < THIN * self._settings.balancers
-
     def group_order(self, group: int) -> list[Backend]:
         """The servers in a group's order, the same at every balancer.
 
@@ -895,7 +889,7 @@
         if warmth >= 1.0:
             return True
         balancers = self._settings.balancers
-        window = self._settings.fall_window
+        window = self._settings.fall_window or 1_000.0  # guards against settings that tell no window
         # The budget of a window has to hold the turns that fall into it and those left from before.
         fill = self._fleet.carries * warmth * window / self._settings.warm_time
         budget = SLACK * self._settings.fall_multiple * fill
--- a/puffinford/interface.py
+++ b/puffinford/interface.py
@@ -137,6 +137,9 @@
         for name in _TIMES:
             if getattr(self, name) < 0:
                 raise ValueError(f"settings: {name}: must not be negative")
+        for tenant in self.tenants:
+            if not 0 <= tenant.quota < float("inf"):
+                raise ValueError(f"settings: tenants.quota of {tenant.name}: must be 0 or a number above it")
         if not self.me >= 0:
             raise ValueError("settings: me: must not be negative")
         if self.balancers < 1:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -35,6 +35,7 @@
     SetTimer,
     Settings,
     Subscribe,
+    Tenant,
     Timer,
 )
 
@@ -487,6 +488,13 @@
     assert ("10.0.0.0:80" not in homes) is passed
 
 
+def test_settings_without_a_fall_window_do_not_stop_decisions() -> None:
+    """A window of 0 divided by zero at the first cold server."""
+    script = Script(settings(cold_from=0.2, warm_time=10_000.0, fall_window=0.0), 2)
+    script.play(ServerList(ListKind.UPDATE, [replace(servers(1)[0], started=script.now)]))
+    assert all(script.open(f"r{n}") for n in range(20) if not script.play(after=100.0))
+
+
 def test_cold_servers_get_little_of_a_storm() -> None:
     given = settings(cold_from=0.2, warm_time=10_000.0, balancers=1)
     script = Script(given)
@@ -687,6 +695,8 @@
         ({"max_attempts": 0}, "max_attempts"),
         ({"balancers": 0}, "balancers"),
         ({"cold_from": 0.0}, "cold_from"),
+        ({"tenants": [Tenant("a", quota=-1.0)]}, "tenants.quota of a"),
+        ({"tenants": [Tenant("a", quota=float("nan"))]}, "tenants.quota of a"),
     ],
 )
 def test_settings_that_cannot_be_used_name_the_setting(changes: dict[str, object], name: str) -> None:
