Log every refusal with its cause and the client's key, to count them across balancers

Change: the module says why it gives a request up (Refuse and Fail carry a Why: attempts spent, no time left, every server unreachable, own load at its limit, no server can take it; a Fail is always "it may have run"). The exchange logs one `answer` line for each final BUSY or failure, from the module or its own (leaving, bad openings), with key, class, tenant, claims and the time waited; `up` carries key and group.

--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -306,9 +306,9 @@
             case it.Attempt():
                 self._start_claim(action)
             case it.Refuse():
-                self._finish(action.id, Ending(Busy(action.retry_after)))
+                self._finish(action.id, Ending(Busy(action.retry_after, action.why.value)))
             case it.Fail():
-                self._finish(action.id, Ending(Failed()))
+                self._finish(action.id, Ending(Failed(action.why.value)))
             case it.Cancel():
                 job = self._jobs.get(action.id)
                 if job is not None and job.claim is not None and job.claim.number == action.attempt:
@@ -350,11 +350,11 @@
     async def serve(self, opening: Opening, submitter: SubmitterLeg) -> None:
         """Serve one job to its end. Exactly one final answer goes to the submitter."""
         if opening.cls not in self._classes:
-            return await self._refuse(submitter, Failed("unknown class"))
+            return await self._refuse(submitter, Failed("unknown class"), opening)
         if opening.job in self._jobs:
-            return await self._refuse(submitter, Failed("id in use"), opening.cls)
+            return await self._refuse(submitter, Failed("id in use"), opening)
         if self._leaving:
-            return await self._refuse(submitter, Busy(self._settings.max_retry_after), opening.cls)
+            return await self._refuse(submitter, Busy(self._settings.max_retry_after, "leaving"), opening)
         job = self._jobs[opening.job] = Job(opening, submitter, self._clock.now() + opening.wait)
         try:
             async with anyio.create_task_group() as tasks:
@@ -452,7 +452,7 @@
                 if self.watcher is not None:
                     failed = not isinstance(ending.answer, Busy)
                     self.watcher.turned_away(_number(job.opening.key), job.opening.cls, failed=failed)
-                await self._refuse(submitter, ending.answer, job.opening.cls)
+                await self._refuse(submitter, ending.answer, job.opening, job)
                 return
             if ending.broken:
                 await submitter.abort()
@@ -468,15 +468,27 @@
                     return
             await submitter.end()
 
-    async def _refuse(self, submitter: SubmitterLeg, answer: Busy | Failed, cls: str | None = None) -> None:
-        """Give the final answer, and count it where it is one of a known class."""
+    async def _refuse(
+        self, submitter: SubmitterLeg, answer: Busy | Failed, opening: Opening, job: Job | None = None
+    ) -> None:
+        """Give the final answer, log it with its cause, and count it where it is one of a known class."""
+        busy = isinstance(answer, Busy)
+        told: dict[str, object] = {"job": opening.job, "key": opening.key, "cls": opening.cls}
+        told["tenant"] = opening.tenant or ""
+        told["answer"], told["why"] = (
+            ("busy", answer.why) if isinstance(answer, Busy) else ("failed", answer.reason)
+        )
+        if job is not None:
+            told["claims"] = job.claims
+            told["waited_ms"] = round(self._clock.now() - job.deadline + opening.wait)
+        log.info("answer", extra=told)
         try:
             await submitter.answer(answer)
         except Broken:
             await submitter.abort()
             return
-        if cls is not None:
-            self.figures.add(cls, Count.REFUSED if isinstance(answer, Busy) else Count.FAILED)
+        if opening.cls in self._classes:
+            self.figures.add(opening.cls, Count.REFUSED if busy else Count.FAILED)
 
     # The submitter's side of a job
 
@@ -612,10 +624,8 @@
         ident = claim.machine.server.id
         last = Kind.DATA
         broken = False
-        log.info(
-            "up",
-            extra={"job": job.id, "server": ident, "claims": claim.number + 1},
-        )
+        told = {"job": job.id, "key": job.opening.key, "group": job.opening.group or "", "server": ident}
+        log.info("up", extra={**told, "claims": claim.number + 1})
         job.up.set()
         try:
             try:
@@ -730,7 +740,7 @@
             if job.standing:
                 self._close(job, Ending(move=True), it.Result.CANCELLED)
             else:
-                self._abandon(job, Ending(Busy(self._settings.max_retry_after)))
+                self._abandon(job, Ending(Busy(self._settings.max_retry_after, "leaving")))
         while self._jobs:
             await self._clock.sleep(20.0)
 
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -98,6 +98,7 @@
     """The requeue notice: trying again is harmless, and when."""
 
     retry_after: float = 0.0
+    why: str = ""  # for the log: what gave it up
 
 
 @dataclass(frozen=True, slots=True)
--- a/puffinford/interface.py
+++ b/puffinford/interface.py
@@ -40,6 +40,17 @@
     UNAVAILABLE = "unavailable"  # a list call failed or the subscription broke
 
 
+class Why(Enum):
+    """Why the module gave a request up; said with its final answer."""
+
+    ATTEMPTS = "attempts spent"
+    TIME = "no time left"
+    DOWN = "every server unreachable"  # a trial is out after a backoff
+    LIMIT = "own load at its limit"  # most servers late: fewer connections, served in time
+    NO_SERVER = "no server can take it"  # tried, unreachable, late or cold at every one
+    RAN = "it may have run, and may not be repeated"  # the cause of every Fail
+
+
 class Result(Enum):
     """How an attempt or a probe ended. Only FULL, CONNECT_FAILED and MOOT prove it never ran."""
 
@@ -402,6 +413,7 @@
 
     id: str
     retry_after: float = 0.0
+    why: Why = Why.NO_SERVER
 
 
 @dataclass(slots=True)
@@ -409,6 +421,7 @@
     """Final answer: failed, nothing promised about its effect."""
 
     id: str
+    why: Why = Why.NO_SERVER
 
 
 @dataclass(slots=True)
