Leave out the own-load limit where views are thin: a few servers cannot judge the fleet full

Cause: the limit (from the inherited module, made for two or three balancers) calls the fleet full when a quarter of the servers holding own connections are late or unreachable. At 200 balancers these are some ten servers that each chose for itself, a lost zone makes half of them unreachable, and the cut of its ten or twenty connections refuses nearly all that comes there for seconds, and grows back by 3% a second, while other servers have room.

Change: where views are thin (a balancer's part of a server under six connections, from the told quotas and the number of balancers) the limit is not set; per-server room from late notes and "no server can take it" still refuse.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -723,7 +723,7 @@
             self._move_some(backend)
         if backend.late_notes >= 2 and not falling:
             backend.late_until = self._now + SLOW_FOR
-            if not self._limiting:
+            if not self._limiting and not self._fleet.thin:
                 self._limiting = True
                 self._timers.at(self._now, self._watch_limit)
 
@@ -1204,9 +1204,11 @@
         """Lower the limit while most servers are strained, raise it slowly after.
 
         A limit on what is open, not on what arrives: clients that were turned away come again
-        together, and a share of that storm would tip the fleet over once more.
+        together, and a share of that storm would tip the fleet over once more. Not where views are thin:
+        the few servers of one balancer say too little of the fleet, and a cut of its ten or twenty
+        connections refused all that came there while others had room (zone+mass 0.317 to 0.349).
         """
-        share = self._strained_share()
+        share = 0.0 if self._fleet.thin else self._strained_share()
         if share > STRAINED:
             self._limit = min(self._limit, self._load) * (1.0 - LIMIT_CUT * share)
             self._do(it.Log(f"own load {self._load:.1f} limited to {self._limit:.1f}, strained {share:.2f}"))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -108,3 +108,18 @@
     """A trial that stood cleared all failures, so each of 200 balancers tried them again every second or so:
     8 servers reset 8,317 connections on a calm day. The wait now grows unless a connection outlasts it."""
     assert _sends_to_sick(seed, sick=True) < 3.0 * _sends_to_sick(seed, sick=False)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_third_of_the_servers_late_turns_nobody_away_while_the_rest_have_room(seed: int) -> None:
+    """Each balancer judged the fleet full by its own few servers, and refused all while others had room."""
+    fleet = Fleet(30, 200, seed)
+    fleet.arrive(1_500, 5_000.0, groups=40)
+    late = fleet.servers[:10]
+    for _ in range(3):
+        fleet.advance(fleet.now + 1_000.0)
+        for me in range(200):
+            for server in late:
+                fleet.handle(me, DelayNote("", server.id, 150.0))
+    fleet.arrive(600, 1_500.0, groups=40)
+    assert fleet.refused <= 6, "twenty servers have room"
