--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -275,6 +275,7 @@
             server = machine.server
             up_s = round((self._clock.now() - server.started) / 1_000.0, 1) if server.started else "long"
             told = {"server": server.id, "state": server.state.value, "up_s": up_s, "list": kind.value}
+            told |= {"zone": server.zone, "kind": server.kind, "weight": server.weight}
             log.info("machine", extra=told)
         self._tell(it.ServerList(kind, [m.server for m in machines.machines], machines.version))
 
