Keep the records of servers and requests apart from the decisions

What is known of servers and requests, the list as told and the questions that others ask move to puffinford/known.py, which decides nothing; balance.py comes down to 997 lines.

--- a/benchmarks/rebalance/cost.py
+++ b/benchmarks/rebalance/cost.py
@@ -35,7 +35,7 @@
         for source in planner.sources()[:1]:
             sample = [
                 Candidate(f.id, f.key, source.id, f.cls, 1.0, f.load, now - f.placed)
-                for f in balancer.standing(source.id, 64)
+                for f in balancer.known.standing(source.id, 64)
             ]
             planned = planner.choose(now, sample, partial(balancer.advise, now=now))
             if planned is not None:
--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -14,7 +14,8 @@
 from operator import attrgetter
 
 from puffinford import interface as it
-from puffinford.hashing import mixed, stable_hash
+from puffinford.hashing import mixed
+from puffinford.known import ROOM_FOR, Backend, Flow, Servers
 from puffinford.timers import INSTANT, Timers
 
 PREFIX = 3  # entries of the working set where balancers far outnumber servers
@@ -22,7 +23,6 @@
 GROUP_OVER = 2.5  # own load, as a multiple of the mean, at which a group passes a server over
 GROUP_ROOM = 4.0  # own load, in mean connections, that is never too much for a server
 ROOM_CUT = 0.8  # of the own load at which messages were late is taken for what a server can carry
-ROOM_FOR = 30_000.0  # what late messages have told of a server's room is forgotten after this
 ROOM_GROWTH = 1.02  # a second, for load and capacity change
 GROUP_PRIOR = 20  # connections that a group's part is judged against before enough were seen
 RETRY_FIRST = 500.0  # first wait before a trial; about a client's patience, short against a restart
@@ -48,7 +48,6 @@
 LIMIT_CUT = 0.4  # of the own load, each time, when all known servers are strained
 LIMIT_GROWTH = 1.03  # each time, once they are not: slow, for all balancers grow together
 LIMIT_SPARE = 1.1  # how far the class worth most for its load may pass the limit
-RESTART_LEAST = 50.0  # starts of a server this close are the same one
 HELD_KEYS = 10_000  # connections remembered after their packets went elsewhere
 EMPTY_OVER = 2_000.0  # the clients of a server that operators take out are moved within this, evenly
 EMPTY_STEP = 100.0
@@ -64,144 +63,24 @@
 _NO_FAULT = frozenset((it.Result.OK, it.Result.CANCELLED, it.Result.MOOT))
 
 
-class Backend:
-    """What this balancer knows of one server."""
-
-    __slots__ = (
-        "away_at", "cell", "chance", "cold_from", "cordoned", "cordoned_at", "credit", "credit_until",
-        "delay", "down",
-        "failures", "flows", "groups", "id", "late_at", "late_notes", "late_until", "listed", "load",
-        "probed_at", "reach", "retry_at", "room", "room_at", "size", "slow_until", "sound_at", "started",
-        "trial", "turn", "unproven", "used", "used_at", "used_since", "zone",
-    )  # fmt: skip
-
-    def __init__(self, server: it.Server) -> None:
-        self.id = server.id
-        self.zone = server.zone
-        self.cell = server.cell
-        self.reach = stable_hash(server.id)  # where it stands in the shuffle common to all balancers
-        self.listed = server.state
-        self.cordoned = False  # operators have taken it out ...
-        self.cordoned_at = 0.0  # ... at that time
-        self.size = server.weight
-        self.started = server.started
-        self.flows: dict[str, Flow] = {}  # own connections and attempts, by request id
-        self.load = 0.0  # their load, in mean connections
-        self.groups: dict[int, int] = {}  # their groups, with the number of each
-        self.down = False  # unreachable until a trial stands
-        self.unproven = False  # named by an old list alone
-        self.away_at: float | None = None  # since when it has taken no connection, if it was tried
-        self.failures = 0
-        self.retry_at = 0.0
-        self.sound_at = 0.0  # a trial stood: its failures are over once a connection outlasts this
-        self.trial = False  # a trial is out
-        self.slow_until = 0.0  # messages there take long
-        self.late_until = 0.0  # they have come too late for more than a moment
-        self.late_at = float("-inf")
-        self.room = float("inf")  # own load that it can carry, as late messages have shown ...
-        self.room_at = float("-inf")  # ... at that time
-        self.chance = 0.0  # what a part of one connection has to come to, where views are thin
-        self.late_notes = 0  # notes of late messages in a row
-        self.delay = 0.0
-        self.used = 0.0  # reported load over capacity
-        self.used_since = 0.0  # load placed since that report
-        self.used_at = float("-inf")
-        self.probed_at = float("-inf")
-        self.cold_from: float | None = None  # when it started, while it may still be cold
-        self.turn = -1  # the last of this balancer's turns at it while it is cold ...
-        self.credit = 0.0  # ... the sends left of it ...
-        self.credit_until = 0.0  # ... until then
-
-    @property
-    def open(self) -> bool:
-        """Whether new connections may go there at all."""
-        return self.listed is it.ServerState.LIVE and not self.cordoned
-
-    def start_cold(self, since: float) -> None:
-        """It has started, or may have: what was known of its health is over."""
-        self.cold_from = since
-        self.turn = -1
-        self.credit = 0.0
-        self.down = False
-        self.failures = 0
-
-    def forget_load(self) -> None:
-        self.room = float("inf")
-        self.chance = 0.0
-        self.room_at = self.late_at = float("-inf")
-        self.slow_until = self.late_until = self.delay = 0.0
-        self.late_notes = 0
-
-
-class Flow:
-    """One request, from its arrival to its final answer or the end of its connection."""
-
-    __slots__ = (
-        "backend", "blamed", "came_back", "cls", "deadline", "group", "held_until", "id", "key", "load",
-        "midflow", "paid", "place", "proving", "risk", "risk_at", "sent", "sent_at", "standing", "tried",
-    )  # fmt: skip
-
-    def __init__(self, request: it.Request, cls: it.RequestClass, deadline: float, load: float) -> None:
-        self.id = request.id
-        self.cls = cls
-        self.deadline = deadline
-        self.group = request.group
-        self.load = load
-        self.came_back = request.came_back
-        self.midflow = request.midflow
-        self.key = request.key
-        self.sent = 0  # attempts made
-        self.sent_at = 0.0
-        self.backend: Backend | None = None  # where the present attempt or the connection is
-        self.standing = False
-        self.proving = False  # its claim is out to an unproven entry
-        self.paid = False  # such a claim of it failed
-        self.place: Backend | None = None  # kept for it since its client was moved
-        self.held_until = 0.0  # it waits no longer than this for such claims of others
-        self.tried: list[Backend] = []
-        self.blamed: list[Backend] = []  # those that answered it with an error
-        self.risk: Backend | None = None  # where an earlier attempt may have run
-        self.risk_at = 0.0
-
-    def may_go_to(self, backend: Backend, now: float) -> bool:
-        """The rule that no effect happens twice."""
-        if self.risk is None or self.cls.effect is it.Effect.SAFE:
-            return True
-        if self.cls.effect is it.Effect.UNSAFE or now >= self.risk_at + self.cls.window:
-            return False
-        if self.cls.scope is it.Scope.ZONE:
-            return backend.zone == self.risk.zone
-        return self.cls.scope is it.Scope.ALL or backend.cell == self.risk.cell
-
-    def may_be_refused(self) -> bool:
-        """A refusal says that trying again is harmless."""
-        if self.risk is None or self.cls.effect is it.Effect.SAFE:
-            return True
-        return self.cls.effect is it.Effect.KEYED and self.cls.scope is it.Scope.ALL
-
-
-class Fleet:
-    """The server list: its entries, the order of this balancer, and the calls that keep it fresh."""
+class Fleet(Servers):
+    """The server list, and the order of this balancer in it."""
 
     def __init__(
-        self, settings: it.Settings, rng: random.Random, timers: Timers, act: Callable[[it.Action], None]
+        self,
+        settings: it.Settings,
+        seed: int,
+        rng: random.Random,
+        timers: Timers,
+        act: Callable[[it.Action], None],
     ):
-        self._settings = settings
-        self._rng = rng
-        self._timers = timers
-        self._act = act
-        self.backends: dict[str, Backend] = {}
+        super().__init__(settings, seed, rng, timers, act)
         self.order: list[Backend] = []  # this balancer's shuffle
-        self.cordoned: frozenset[str] = frozenset()
         self.common: list[Backend] = []  # the shuffle common to all balancers
         self._orders: dict[int, list[Backend]] = {}  # those of groups
         self.most = 0  # servers that were up together, at most
         self.carries = CARRIES  # connections that a warm one can be counted on to carry, for all balancers
         self.thin = False  # this balancer sees so little of each that its own steps are all or nothing
-        self._subscribed = not settings.list_on_request
-        self._asking = False
-        self._failures = 0
-        self._now = 0.0
 
     def configure(self, settings: it.Settings) -> None:
         self._settings = settings
@@ -210,66 +89,16 @@
 
     def take(self, event: it.ServerList, now: float) -> bool:
         """Take in a list; tells whether the order has changed."""
-        self._now = now
-        if event.kind is it.ListKind.UNAVAILABLE:
-            self._asking = self._subscribed = False
-            self._failures += 1
-            self._ask_later()
-            return False
-        if event.kind is it.ListKind.RESTORED:
-            self._ask_later()
-        else:
-            self._asking = False
-            self._failures = 0
-            self._subscribed = True
-        changed = False
-        if event.kind is not it.ListKind.UPDATE:
-            named = {server.id for server in event.servers}
-            for backend in self.backends.values():
-                if backend.id not in named:
-                    backend.listed = it.ServerState.GONE
-                    changed = True
-        for server in event.servers:
-            changed |= self._take_entry(server, now)
-        if event.kind is not it.ListKind.UPDATE or any(s.state is it.ServerState.GONE for s in event.servers):
-            self.backends = {
-                ident: backend
-                for ident, backend in self.backends.items()
-                if backend.listed is not it.ServerState.GONE or backend.flows
-            }
+        changed = super().take(event, now)
         if changed:
             self._shuffle()
         return changed
 
-    def _take_entry(self, server: it.Server, now: float) -> bool:
-        backend = self.backends.get(server.id)
-        if backend is None:
-            backend = self.backends[server.id] = Backend(server)
-            backend.cordoned = server.id in self.cordoned
-            restarted = True
-        else:
-            # Guards against taking a start told twice for two: hosts count from clocks that round.
-            restarted = server.started > backend.started + RESTART_LEAST
-            if not restarted and backend.listed is server.state and backend.size == server.weight:
-                return False
-            backend.listed = server.state
-            backend.size = server.weight
-            backend.started = max(server.started, backend.started)
-        if restarted and server.started > 0 and now < server.started + self._settings.warm_time:
-            backend.start_cold(server.started)
-        return True
-
     def cordon(self, servers: frozenset[str], now: float) -> tuple[list[Backend], list[Backend]]:
-        """Hold the whole set of servers that are out; those newly out, and those that are back."""
-        self.cordoned = servers
-        changed = [b for b in self.backends.values() if b.cordoned != (b.id in servers)]
-        for backend in changed:
-            backend.cordoned = not backend.cordoned
-            if backend.cordoned:
-                backend.cordoned_at = now
-        if changed:
+        out, back = super().cordon(servers, now)
+        if out or back:
             self._shuffle()
-        return [b for b in changed if b.cordoned], [b for b in changed if not b.cordoned]
+        return out, back
 
     def _shuffle(self) -> None:
         """Order the live servers: this balancer's slice of a shuffle common to all comes first.
@@ -307,19 +136,6 @@
             self._orders[group] = order
         return order
 
-    def _ask_later(self) -> None:
-        # Guards against all balancers asking one list service at once, at the start and after an
-        # outage: full jitter, and never longer unasked than the rules allow.
-        if self._subscribed or self._asking:
-            return
-        most = self._settings.ask_within
-        window = min(most * 0.9, most / 8 * 2.0 ** min(self._failures, 10))
-        self._asking = True
-        self._timers.at(self._now + self._rng.random() * window, self._ask)
-
-    def _ask(self) -> None:
-        self._act(it.Subscribe(True))
-
 
 class Balancer:
     """One balancer: `handle` takes the events of a moment and returns the actions."""
@@ -328,7 +144,8 @@
         self._rng = random.Random(seed)
         self._timers = Timers()
         self._actions: list[it.Action] = []
-        self._fleet = Fleet(settings, self._rng, self._timers, self._do)
+        self._fleet = Fleet(settings, seed, self._rng, self._timers, self._do)
+        self.known: Servers = self._fleet  # for queries
         self._flows: dict[str, Flow] = {}
         self._holders: dict[int, tuple[str, float]] = {}  # where connections by key were last, and when
         self._groups: dict[int, int] = {}  # own connections of each group
@@ -351,7 +168,6 @@
         self._held: dict[str, Flow] = {}  # requests that wait for what those claims tell
         self._kept: dict[int, Flow] = {}  # places kept for moved clients, by key
         self._favoured: frozenset[str] = frozenset()  # where clients that come back are sent first
-        self._doubles = random.Random(seed ^ 0xD0)  # for queries, which must not change what is drawn next
         self._probe_credit = 0.0
         self._probing = False  # a round of probes is due
         self._take_settings(settings)
@@ -408,26 +224,6 @@
     def _do(self, action: it.Action) -> None:
         self._actions.append(action)
 
-    def excluded(self, now: float) -> set[str]:
-        """The servers that get no ordinary new connection now, for whatever reason."""
-        return {
-            ident
-            for ident, backend in self._fleet.backends.items()
-            if not backend.open or backend.down or backend.slow_until > now
-        }
-
-    def health(self, now: float) -> list[it.Health]:
-        """What is known of the servers of which there is anything to tell."""
-        told = []
-        for b in self._fleet.backends.values():
-            failures = b.failures if b.down else 0
-            room = b.room if now < b.room_at + ROOM_FOR else None
-            busy = max(b.slow_until, b.late_until) > now
-            if failures or room is not None or b.cold_from is not None or busy:
-                health = (b.id, now, failures, b.retry_at, b.away_at, b.slow_until, max(b.late_at, 0.0))
-                told.append(it.Health(*health, b.delay, room, max(b.room_at, 0.0), b.cold_from))
-        return told
-
     def survey(self, now: float) -> list[it.Survey]:
         """Every listed server, as far as it matters to what stands. Without effect."""
         self._now = now
@@ -440,23 +236,6 @@
             told.append(it.Survey(b.id, self._cost(b), capacity, usable, strained, len(b.flows)))
         return told
 
-    def standing(self, server: str, most: int) -> list[it.Standing]:
-        """At most so many of the own connections that stand at a server, drawn at random. Without effect."""
-        backend = self._fleet.backends.get(server)
-        if backend is None:
-            return []
-        flows = [f for f in backend.flows.values() if f.standing and f.key is not None]
-        if len(flows) > most:
-            flows = self._doubles.sample(flows, most)
-        told = []
-        for f in flows:
-            group = f.group if self._settings.grouped else None
-            members = backend.groups[group] if group is not None else 0
-            assert f.key is not None
-            row = (f.id, f.key, f.cls.name, f.load, group, f.sent_at, f.came_back, members)
-            told.append(it.Standing(*row))
-        return told
-
     def advise(self, ident: str, now: float) -> str | None:
         """Where a standing connection would be placed, were it new. Without effect."""
         flow = self._flows.get(ident)
@@ -465,7 +244,7 @@
         self._now = now
         here, drawn = flow.backend, self._rng
         here.load -= flow.load
-        self._rng = self._doubles
+        self._rng = self._fleet.doubles
         try:
             chosen = None
             if self._settings.grouped and flow.group is not None:
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -194,7 +194,7 @@
 
     def gauges(self) -> dict[str, int]:
         """What stands now; what is left out is the module's word."""
-        excluded = self._balancer.excluded(self._clock.now())
+        excluded = self._balancer.known.excluded(self._clock.now())
         return {
             "in_flight": len(self._jobs),
             "servers_known": len(self._machines),
@@ -203,7 +203,7 @@
 
     def health(self) -> list[it.Health]:
         """What the module knows of the servers besides the list."""
-        return self._balancer.health(self._clock.now())
+        return self._balancer.known.health(self._clock.now())
 
     def learn(self, health: list[it.Health]) -> None:
         """Tell the module what another process of this balancer knew."""
@@ -220,7 +220,7 @@
         """Some connections that stand at a server, each with whether all its lines are answered."""
         now = self._clock.now()
         told = []
-        for flow in self._balancer.standing(server, most):
+        for flow in self._balancer.known.standing(server, most):
             job = self._jobs.get(flow.id)
             if job is not None and job.standing and job.claim is not None:
                 told.append((flow, job.claim.unanswered.age(now) == 0.0))
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -358,7 +358,7 @@
     for kind in (ListKind.REPLACE, ListKind.UPDATE):
         script.play(ServerList(kind, [*servers(1, started=script.now), servers(2)[1]]))
         assert {script.open(f"{kind}{n}") for n in range(20)} == {"10.0.0.1:80"}
-    assert script.balancer.excluded(script.now) == {"10.0.0.0:80"}
+    assert script.balancer.known.excluded(script.now) == {"10.0.0.0:80"}
     script.play(Cordoned())
     first = script.ask("t1")
     assert sent(first).server == "10.0.0.0:80", "tried at once"
--- a/tests/test_proving.py
+++ b/tests/test_proving.py
@@ -171,8 +171,8 @@
     down = it.Health("a", 800.0, failures=4, retry_at=9_000.0)
     slow = it.Health("b", 800.0, slow_until=4_000.0, late_at=790.0, delay=900.0, room=1.0, room_at=790.0)
     table.tell(it.Learned([down, slow]))
-    assert table.balancer.excluded(table.now) == (set() if restarted else {"a", "b"})
-    told = {health.server: health for health in table.balancer.health(table.now)}
+    assert table.balancer.known.excluded(table.now) == (set() if restarted else {"a", "b"})
+    told = {health.server: health for health in table.balancer.known.health(table.now)}
     if not restarted:
         assert (told["a"].failures, told["a"].retry_at) == (4, 9_000.0)
         assert (told["b"].slow_until, told["b"].room) == (4_000.0, 1.0)
--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -108,7 +108,7 @@
         for m in range(n):
             one.balancer.advise(f"j{m}", one.now)
         one.balancer.survey(one.now)
-        one.balancer.standing("a", 5)
+        one.balancer.known.standing("a", 5)
     assert one.at == other.at and one.loads() == other.loads()
 
 
