Hear load reports and delay notes on sockets, and spare small cold servers

Its load reports come in answer to STATS alone, and a probe was PING: the module heard of none.

Now notes are told apart by their row, where settings tell both; STATS is spoken where reports come on probes, and BYE, ERR and BUSY are read for them where settings say so; a bad report is named by field and value, once a server. What a server carries follows from the quotas, or else from what stands and the part of the fleet that reports say is used, by the server's size. The mean load is the mean of the first hundred, not the first one.

--- a/benchmarks/fleet/__main__.py
+++ b/benchmarks/fleet/__main__.py
@@ -15,6 +15,7 @@
 
 from puffinford.cli.tables import table
 from puffinford.interface import ListKind, Server, ServerList
+from puffinford.known import QUOTA_PART
 from puffinford.standins.fleet import CARRIES, Fleet, gone, renew
 
 SIZES = (3, 10, 40, 100)
@@ -88,7 +89,7 @@
         for at in [at for at, _, to in fleet.sends if to == server.id]:
             warmth = min(1.0, COLD_FROM + (1.0 - COLD_FROM) * (at - server.started) / WARM_TIME)
             sent = sum(at - 1_000.0 < other <= at for other, _, to in fleet.sends if to == server.id)
-            fill = max(fill, sent / (MULTIPLE * CARRIES * warmth / 23.0))
+            fill = max(fill, sent / (MULTIPLE * CARRIES / QUOTA_PART * warmth / 23.0))
     held = fleet.held()
     up = [server.id for server in fleet.servers if server.id in held]
     return {
--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -15,7 +15,7 @@
 
 from puffinford import interface as it
 from puffinford.hashing import mixed
-from puffinford.known import ROOM_FOR, Backend, Flow, Servers
+from puffinford.known import CARRIED, QUOTA_PART, ROOM_FOR, USED_PART, Backend, Flow, Servers
 from puffinford.timers import INSTANT, Timers
 
 PREFIX = 3  # entries of the working set where balancers far outnumber servers
@@ -34,11 +34,12 @@
 SLOW_FOR = 3_000.0  # a note of slow messages comes each second while it lasts: three missed, it is over
 MOVE_PART = 0.7  # of the own connections of a late server, moved each note, shared by the late ones ...
 MOVE_THIN = 0.35  # ... and where views are thin: all that hold any are told together, and again next second
-THIN = 6.0  # own part of what a server carries, in connections, under which one connection is a large step
+THIN = 12.0  # own part of what a server carries, in connections, under which one connection is a large step
 MOVE_REST = 2_000.0  # a client that came back is left alone this long: its move must pay first
 USED_FIELDS = ("x0", "utilization")  # reported load over capacity; the first can tell more than full
 FULL_FROM = 0.95  # a server that uses this much of its capacity is passed over ...
 FULL_UNTIL = 0.85  # ... until it is back at this
+USED_LEAST = 0.1  # of their capacity; with less in use, reports are too rough to tell what servers carry
 USED_FOR = 10_000.0  # a report older than this tells nothing
 PROBE_EVERY = 500.0  # servers refresh their reports at about this pace
 PROBE_SPEND = 0.005  # points of the result that the probes of one request may cost
@@ -52,9 +53,8 @@
 EMPTY_OVER = 2_000.0  # the clients of a server that operators take out are moved within this, evenly
 EMPTY_STEP = 100.0
 GROUP_COST = 3.0  # mean connections that a server pays for each group that it holds any of
-CARRIES = 100.0  # connections that a warm server is taken to carry where the settings tell no quotas
 COLD_OVER = 1.5  # own load of a cold server, over its part by warmth, above which a turn there is left
-SLACK = 6.0  # times the budget told: it is the least a server can do, and chance is allowed for
+SLACK = 3.0  # times the budget told: it is the least a server can do, and chance is allowed for
 TURN_FOR = 1.0  # fall windows that a balancer's turn at a cold server lasts, if it has nobody to send at once
 ORDERS = 1_000  # groups whose shuffle is remembered until the list changes
 HOLD = 2.0  # a request waits so many patiences for claims that prove restored entries, and no longer
@@ -79,7 +79,8 @@
         self.common: list[Backend] = []  # the shuffle common to all balancers
         self._orders: dict[int, list[Backend]] = {}  # those of groups
         self.most = 0  # servers that were up together, at most
-        self.carries = CARRIES  # connections that a warm one can be counted on to carry, for all balancers
+        self.carries = CARRIED  # connections that a warm one can be counted on to carry, for all balancers
+        self.mean_size = 1.0
         self.thin = False  # this balancer sees so little of each that its own steps are all or nothing
 
     def configure(self, settings: it.Settings) -> None:
@@ -110,9 +111,12 @@
         """
         live = [b for b in self.backends.values() if b.open]
         self.most = max(self.most, len(live))
+        sizes = [b.size for b in live if b.size > 0]
+        self.mean_size = sum(sizes) / len(sizes) if self._settings.sized and sizes else 0.0
         told = sum(tenant.quota for tenant in self._settings.tenants)
-        self.carries = told / max(1, self.most) if told else CARRIES
-        self.thin = self.carries < THIN * self._settings.balancers
+        if told:
+            self.carries = told / QUOTA_PART / max(1, self.most)
+        self.thin = told > 0 and self.carries < THIN * self._settings.balancers
         self.common = sorted(live, key=attrgetter("reach"))
         self._orders.clear()
         start = int((self._settings.me + 0.5) / self._settings.balancers * len(live)) % max(1, len(live))
@@ -158,6 +162,7 @@
         self._class_load: dict[str, float] = {}  # mean load of a connection, where loads are told
         self._due: list[tuple[float, str]] = []  # trials of unreachable servers, by time
         self._mean_load = 0.0
+        self._loads_told = 0
         self._failed = False
         self._failed_tries = 0
         self._next_trial = 0.0
@@ -584,11 +589,10 @@
     # Load of connections
 
     def _known_load(self, load: float) -> float:
-        if self._mean_load <= 0:
-            self._mean_load = load or 1.0
-        else:
-            self._mean_load += 0.01 * (load - self._mean_load)
-        return load / self._mean_load
+        # Guards the mean against the first load told, which stood for it for a hundred more.
+        self._loads_told += 1
+        self._mean_load += max(0.01, 1.0 / self._loads_told) * (load - self._mean_load)
+        return load / self._mean_load if self._mean_load > 0 else 1.0
 
     def _learn_class(self, cls: it.RequestClass, load: float) -> None:
         mean = self._class_load.get(cls.name, load)
@@ -669,7 +673,8 @@
         balancers = self._settings.balancers
         window = self._settings.fall_window or 1_000.0  # guards against settings that tell no window
         # The budget of a window has to hold the turns that fall into it and those left from before.
-        fill = self._fleet.carries * warmth * window / self._settings.warm_time
+        part = min(1.0, backend.size / self._fleet.mean_size) if self._fleet.mean_size > 0 else 1.0
+        fill = self._carries() * part * warmth * window / self._settings.warm_time
         budget = SLACK * self._settings.fall_multiple * fill
         each = max(budget / (1.0 + TURN_FOR), budget - balancers)
         age = self._now - (backend.cold_from or 0.0)
@@ -686,6 +691,22 @@
             backend.credit = 0.0
         return backend.credit >= 1.0
 
+    def _carries(self) -> float:
+        """The connections that a warm server of mean size can be counted on to carry, for all balancers.
+
+        Where no quotas tell it, what stands now over the part of the fleet that it uses, as load reports say.
+        Guards cold servers of a site without quotas: taken for 100, a small one was sent 13 times its part.
+        """
+        fleet = self._fleet
+        if not self._settings.tenants or not any(tenant.quota for tenant in self._settings.tenants):
+            warm = [b for b in fleet.order if b.cold_from is None]
+            told = [b for b in warm if b.used_at > self._now - USED_FOR]
+            size = sum(b.size for b in told)
+            used = sum(b.used * b.size for b in told) / size if size > 0 else USED_PART
+            stands = self._load * self._settings.balancers / max(1, len(warm))
+            fleet.carries = max(CARRIED, stands / max(used, USED_LEAST))
+        return fleet.carries
+
     def _cost(self, backend: Backend) -> float:
         """The own load of a server, with what it pays for the groups that it holds."""
         return backend.load + GROUP_COST * len(backend.groups) if self._settings.grouped else backend.load
--- a/puffinford/codec.py
+++ b/puffinford/codec.py
@@ -232,6 +232,7 @@
         sized=facts.get("weight_source") in ("nominal", "rough"),
         report_fields=[str(name) for name in _listing("hello.facts.report", report, "fields")],
         report_on_probe=report.get("how") == "pull",
+        report_on_answer=report.get("how") == "piggyback",
         probe_price=_number_or(prices, tariffs, "probe", 0.0),
         move_price=_number_or(prices, tariffs, "moves", 0.0),
         cross_zone_price=_number_or(prices, tariffs, "cross_zone", 0.0),
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -19,6 +19,8 @@
 from puffinford.core.clock import Clock
 from puffinford.core.delays import DelayMeter, Unanswered
 from puffinford.core.figures import Count, Figures
+from puffinford.core.notes import NoteKinds
+from puffinford.core.reports import BadReport, parse_report
 from puffinford.core.values import (
     Broken,
     Busy,
@@ -123,6 +125,7 @@
         self.figures = Figures()
         self.cordoned: frozenset[str] = frozenset()
         self._named: set[str] = set()  # the servers that a list has named, gone or not
+        self._bad_reports: set[str] = set()  # those whose load reports have been found wanting
         self._started = clock.now()
         self._heard = False  # the machine list's source has answered or failed
         self._take_settings(settings)
@@ -169,8 +172,9 @@
         self._classes = {cls.name for cls in settings.classes}
         self.figures.know(cls.name for cls in settings.classes)
         self._meter = DelayMeter(
-            min((c.message_aim for c in settings.classes if c.message_aim > 0), default=0.0)
+            shortest := min((c.message_aim for c in settings.classes if c.message_aim > 0), default=0.0)
         )
+        self._notes = NoteKinds(shortest, self._stands)
 
     def configure(self, settings: it.Settings) -> None:
         """Go on under other settings; jobs and all that is known of the servers stay."""
@@ -340,11 +344,23 @@
     async def _probe(self, ident: str) -> None:
         machine = self._machines.get(ident)
         started = self._clock.now()
-        result = it.Result.CONNECT_FAILED
+        result, report = it.Result.CONNECT_FAILED, None
         if machine is not None:
             wait = self._settings.connect_timeout
-            result = await self._sides[machine.front].probe(machine, wait)
-        self._tell(it.ProbeResult(ident, result, self._clock.now() - started))
+            load = self._settings.report_on_probe
+            result, text = await self._sides[machine.front].probe(machine, wait, load)
+            report = self._report(ident, text) if load else None
+        self._tell(it.ProbeResult(ident, result, self._clock.now() - started, report))
+
+    def _report(self, ident: str, text: str) -> list[float] | None:
+        """A server's load report; None where there is none, or none that can be used."""
+        try:
+            return parse_report(text, self._settings.report_fields)
+        except BadReport as exc:
+            if ident not in self._bad_reports:  # once a server: guards the log against a line an answer
+                self._bad_reports.add(ident)
+                log.warning("report rejected", extra={"server": ident, "error": str(exc)})
+            return None
 
     # Jobs
 
@@ -417,8 +433,8 @@
             job.ending = ending
             job.done.set()
 
-    def _close(self, job: Job, ending: Ending, result: it.Result) -> None:
-        """End a standing connection, and tell the module so."""
+    def _close(self, job: Job, ending: Ending, result: it.Result, text: str = "") -> None:
+        """End a standing connection, and tell the module so, with the load report that its end brought."""
         claim = job.claim
         if job.ending is not None or claim is None:
             return
@@ -429,7 +445,8 @@
         if self.watcher is not None:
             cut = ending.move or result is it.Result.RESET
             self.watcher.ended(_number(job.opening.key), job.opening.cls, server, latency, cut=cut)
-        self._tell(it.Outcome(job.id, claim.number, server, result, latency, True))
+        report = self._report(server, text) if self._settings.report_on_answer else None
+        self._tell(it.Outcome(job.id, claim.number, server, result, latency, True, report))
         log.info(
             "end",
             extra={
@@ -584,7 +601,8 @@
             await self._pass_all(job, ended.messages)
             self._finish(job.id, Ending())
         closed = job.ending is not None
-        self._tell(it.Outcome(job.id, claim.number, server, ended.result, latency, closed))
+        report = self._report(server, ended.report) if self._settings.report_on_answer else None
+        self._tell(it.Outcome(job.id, claim.number, server, ended.result, latency, closed, report))
 
     async def _pass_all(self, job: Job, messages: tuple[Message, ...]) -> None:
         try:
@@ -623,7 +641,7 @@
         leg = claim.leg
         assert leg is not None
         ident = claim.machine.server.id
-        last = Kind.DATA
+        last, report = Kind.DATA, ""
         broken = False
         told = {"job": job.id, "key": job.opening.key, "group": job.opening.group or "", "server": ident}
         log.info("up", extra={**told, "claims": claim.number + 1})
@@ -644,7 +662,7 @@
                     self._note(job, ident, message.note)
                 elif (delay := claim.unanswered.answered(self._clock.now())) is not None:
                     self._meter.sample(ident, delay)
-                last = message.kind
+                last, report = message.kind, message.report
                 if job.ending is not None:
                     return
                 try:
@@ -662,7 +680,7 @@
             result = it.Result.CANCELLED
         else:
             result = it.Result.RESET
-        self._close(job, Ending(broken=broken), result)
+        self._close(job, Ending(broken=broken), result, report)
 
     def _note(self, job: Job, ident: str, value: float) -> None:
         """A server's note. The line is one for both kinds; the settings say which a server sends.
@@ -670,11 +688,18 @@
         Guards against taking milliseconds of delay for a load: where only delays are told, a note
         comes once a second on one connection while messages at its server are slow.
         """
-        if self._settings.tells_load:
-            self._tell(it.LoadNote(job.id, ident, value))
-        elif self._settings.tells_delay:
+        delay: bool | None = self._settings.tells_delay
+        if delay and self._settings.tells_load:
+            delay = self._notes.take(job.id, ident, value, self._clock.now())
+        if delay:
             log.info("slow", extra={"server": ident, "ms": round(value, 1), "by": "note"})
             self._tell_delay(job.id, ident, value)
+        elif delay is False and self._settings.tells_load:
+            self._tell(it.LoadNote(job.id, ident, value))
+
+    def _stands(self, ident: str) -> bool:
+        job = self._jobs.get(ident)
+        return job is not None and job.standing
 
     # Standing connections
 
@@ -696,6 +721,8 @@
     def _note_delays(self) -> None:
         """Once a second: the notes of slow messages that the sockets themselves give."""
         now = self._clock.now()
+        for note in self._notes.due(now):
+            self._tell(it.LoadNote(note.job, note.server, note.value))
         waiting = []
         carriers: dict[str, str] = {}
         for job, claim in self._standing():
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -86,6 +86,7 @@
     data: bytes
     kind: Kind = Kind.DATA
     note: float = 0.0
+    report: str = ""  # the load report of a BYE, as text
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,12 +117,16 @@
 
 
 class ClaimEnded(Exception):
-    """A claim ended without standing; `messages` are what the server sent for the submitter."""
+    """A claim ended without standing; `messages` are what the server sent for the submitter.
 
-    def __init__(self, result: Result, messages: tuple[Message, ...] = ()) -> None:
+    `report` is the load report beside the server's answer, as text; empty where there is none.
+    """
+
+    def __init__(self, result: Result, messages: tuple[Message, ...] = (), report: str = "") -> None:
         super().__init__(result.value)
         self.result = result
         self.messages = messages
+        self.report = report
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,7 +196,8 @@
         `sent` is called once the last byte of the opening has been written.
         """
 
-    async def probe(self, machine: Machine, wait: float) -> Result: ...
+    async def probe(self, machine: Machine, wait: float, load: bool) -> tuple[Result, str]:
+        """Whether the machine answers within `wait` ms; with `load` also its load report as text, if any."""
 
 
 class JobWatcher(Protocol):
--- a/puffinford/fronts/channels/server.py
+++ b/puffinford/fronts/channels/server.py
@@ -94,8 +94,8 @@
             raise ClaimEnded(Result.ERROR) from None
         return ChannelLeg(channel, self._clock), Up(receipt)
 
-    async def probe(self, machine: Machine, wait: float) -> Result:
-        """Whether the machine speaks: its connection stands, or comes to stand."""
+    async def probe(self, machine: Machine, wait: float, load: bool) -> tuple[Result, str]:
+        """Whether the machine speaks: its connection stands, or comes to stand. Channels carry no report."""
         result = Result.TIMEOUT
         try:
             with self._clock.limit(wait):
@@ -103,4 +103,4 @@
                 result = Result.OK
         except ClaimEnded as exc:
             result = exc.result
-        return result
+        return result, ""
--- a/puffinford/fronts/lines/codec.py
+++ b/puffinford/fronts/lines/codec.py
@@ -13,6 +13,7 @@
 _CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 END = b"\r\n"
 PING = "PING"
+STATS = "STATS"
 PONG = b"PONG" + END
 MOVE = b"MOVE" + END
 
@@ -71,22 +72,32 @@
             return f"ERR {answer.reason}".encode("latin-1", "replace") + END
 
 
-def decode_answer(line: bytes) -> Up | Result:
-    """A server's first line: UP, or how the claim ended."""
+def decode_answer(line: bytes) -> tuple[Up | Result, str]:
+    """A server's first line: UP, or how the claim ended, with the load report that it may end with."""
     try:
         word, _, rest = _text(line).partition(" ")
     except BadLine:
-        return Result.ERROR
+        return Result.ERROR, ""
     if word == "UP":
-        return Up(rest)
-    return {"BUSY": Result.FULL, "BYE": Result.OK, "MOVE": Result.CANCELLED}.get(word, Result.ERROR)
+        return Up(rest), ""
+    result = {"BUSY": Result.FULL, "BYE": Result.OK, "MOVE": Result.CANCELLED}.get(word, Result.ERROR)
+    return result, "" if word == "MOVE" else rest
+
+
+def decode_probe(line: bytes) -> tuple[Result, str]:
+    """A server's answer to PING or STATS, with the load report that may follow."""
+    try:
+        word, _, rest = _text(line).partition(" ")
+    except BadLine:
+        return Result.ERROR, ""
+    return (Result.OK, rest) if word == "PONG" else (Result.ERROR, "")
 
 
 def decode_message(line: bytes) -> Message:
     """A line on a standing connection."""
     word, _, rest = line.rstrip(b"\r\n").partition(b" ")
     if word == b"BYE":
-        return Message(line, Kind.BYE)
+        return Message(line, Kind.BYE, report=rest.decode("latin-1"))
     if word == b"MOVE":
         return Message(line, Kind.MOVE)
     if word == b"LOAD":
--- a/puffinford/fronts/lines/server.py
+++ b/puffinford/fronts/lines/server.py
@@ -37,7 +37,7 @@
         wire = await self._connect(machine, wait)
         leg = LineLeg(wire)
         answer: Up | Result = Result.TIMEOUT
-        line = b""
+        line, report = b"", ""
         standing = False
         try:
             left = wait - (self._clock.now() - started)
@@ -49,32 +49,31 @@
             with self._clock.limit(left):
                 try:
                     line = await leg.read_line()
-                    answer = codec.decode_answer(line)
+                    answer, report = codec.decode_answer(line)
                 except (Ended, Broken):
                     answer = Result.RESET
             if isinstance(answer, Up):
                 standing = True
                 return leg, answer
             messages = (codec.decode_message(line),) if answer is Result.OK else ()
-            raise ClaimEnded(answer, messages)
+            raise ClaimEnded(answer, messages, report)
         finally:
             # Guards against a second claim beside one given up: its connection is closed first.
             if not standing:
                 wire.close()
 
-    async def probe(self, machine: Machine, wait: float) -> Result:
+    async def probe(self, machine: Machine, wait: float, load: bool) -> tuple[Result, str]:
         try:
             wire = await self._connect(machine, wait)
         except ClaimEnded as exc:
-            return exc.result
-        result = Result.TIMEOUT
+            return exc.result, ""
+        result, report = Result.TIMEOUT, ""
         try:
             with self._clock.limit(wait):
-                await wire.write(codec.PING.encode() + codec.END)
-                line = await LineLeg(wire).read_line()
-                result = Result.OK if line == codec.PONG else Result.ERROR
+                await wire.write((codec.STATS if load else codec.PING).encode() + codec.END)
+                result, report = codec.decode_probe(await LineLeg(wire).read_line())
         except (Ended, Broken):
             result = Result.RESET
         finally:
             wire.close()
-        return result
+        return result, report
--- a/puffinford/interface.py
+++ b/puffinford/interface.py
@@ -130,6 +130,7 @@
     sized: bool = False  # Server.weight tells a size
     report_fields: list[str] = field(default_factory=list)
     report_on_probe: bool = False
+    report_on_answer: bool = False
     probe_price: float = 0.0
     move_price: float = 0.0
     cross_zone_price: float = 0.0
--- a/puffinford/known.py
+++ b/puffinford/known.py
@@ -13,6 +13,9 @@
 from puffinford.hashing import stable_hash
 from puffinford.timers import Timers
 
+CARRIED = 10.0  # mean connections that a warm server is taken to carry at least, where nothing tells
+QUOTA_PART = 0.5  # of what the servers can carry is granted to tenants as quotas, about
+USED_PART = 0.5  # of what the servers can carry is taken to be in use, where no report tells
 RESTART_LEAST = 50.0  # starts of a server this close are the same one
 ROOM_FOR = 30_000.0  # what late messages have told of a server's room is forgotten after this
 
