Learn what servers carry slowly, and count a cold one's turns anew when the figure changes

The estimate now starts at 100, moves by a twentieth with each report, and only while 20 connections stand here; when it changes by a fifth, turns are counted anew.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -15,7 +15,7 @@
 
 from puffinford import interface as it
 from puffinford.hashing import mixed
-from puffinford.known import CARRIED, QUOTA_PART, ROOM_FOR, USED_PART, Backend, Flow, Servers
+from puffinford.known import CARRIED, QUOTA_PART, ROOM_FOR, Backend, Flow, Servers
 from puffinford.timers import INSTANT, Timers
 
 PREFIX = 3  # entries of the working set where balancers far outnumber servers
@@ -40,6 +40,9 @@
 FULL_FROM = 0.95  # a server that uses this much of its capacity is passed over ...
 FULL_UNTIL = 0.85  # ... until it is back at this
 USED_LEAST = 0.1  # of their capacity; with less in use, reports are too rough to tell what servers carry
+CARRIES_SEEN = 20  # own connections that it takes to learn from reports what servers carry ...
+CARRIES_RATE = 0.05  # ... by so much of the difference with each report ...
+CARRIES_STEP = 0.2  # ... and by so much of it before turns are counted anew
 USED_FOR = 10_000.0  # a report older than this tells nothing
 PROBE_EVERY = 500.0  # servers refresh their reports at about this pace
 PROBE_SPEND = 0.005  # points of the result that the probes of one request may cost
@@ -80,7 +83,8 @@
         self._orders: dict[int, list[Backend]] = {}  # those of groups
         self.most = 0  # servers that were up together, at most
         self.carries = CARRIED  # connections that a warm one can be counted on to carry, for all balancers
-        self.mean_size = 1.0
+        self.mean_size = 0.0  # 0 where sizes are not told
+        self.quotas = 0.0  # connections of all tenants
         self.thin = False  # this balancer sees so little of each that its own steps are all or nothing
 
     def configure(self, settings: it.Settings) -> None:
@@ -113,10 +117,10 @@
         self.most = max(self.most, len(live))
         sizes = [b.size for b in live if b.size > 0]
         self.mean_size = sum(sizes) / len(sizes) if self._settings.sized and sizes else 0.0
-        told = sum(tenant.quota for tenant in self._settings.tenants)
-        if told:
-            self.carries = told / QUOTA_PART / max(1, self.most)
-        self.thin = told > 0 and self.carries < THIN * self._settings.balancers
+        self.quotas = sum(tenant.quota for tenant in self._settings.tenants)
+        if self.quotas:
+            self.carries = self.quotas / QUOTA_PART / max(1, self.most)
+        self.thin = self.quotas > 0 and self.carries < THIN * self._settings.balancers
         self.common = sorted(live, key=attrgetter("reach"))
         self._orders.clear()
         start = int((self._settings.me + 0.5) / self._settings.balancers * len(live)) % max(1, len(live))
@@ -564,6 +568,7 @@
         used = backend.used = report[self._used_field]
         backend.used_since = 0.0
         backend.used_at = self._now
+        self._learn_carries()
         if used >= FULL_FROM and backend.slow_until <= self._now:
             backend.slow_until = self._now + SLOW_FOR
             self._set_until = -1.0
@@ -674,7 +679,11 @@
         window = self._settings.fall_window or 1_000.0  # guards against settings that tell no window
         # The budget of a window has to hold the turns that fall into it and those left from before.
         part = min(1.0, backend.size / self._fleet.mean_size) if self._fleet.mean_size > 0 else 1.0
-        fill = self._carries() * part * warmth * window / self._settings.warm_time
+        carries = self._fleet.carries * part
+        changed = abs(carries - backend.carries) > CARRIES_STEP * carries
+        if changed:
+            backend.carries = carries
+        fill = backend.carries * warmth * window / self._settings.warm_time
         budget = SLACK * self._settings.fall_multiple * fill
         each = max(budget / (1.0 + TURN_FOR), budget - balancers)
         age = self._now - (backend.cold_from or 0.0)
@@ -683,6 +692,8 @@
         given = each * grown * max(age, 0.0) / window  # turns of the whole fleet up to now
         place = 1 + (self._settings.me + backend.reach) % balancers
         turn = int((given - place) // balancers)
+        if changed and backend.turn >= 0:
+            backend.turn = turn  # guards a cold server against waiting for turns counted by another figure
         if turn > backend.turn:
             backend.turn = turn
             backend.credit = 1.0
@@ -691,21 +702,19 @@
             backend.credit = 0.0
         return backend.credit >= 1.0
 
-    def _carries(self) -> float:
-        """The connections that a warm server of mean size can be counted on to carry, for all balancers.
+    def _learn_carries(self) -> None:
+        """Learn what a warm server of mean size carries, where no quotas tell it, from load reports.
 
-        Where no quotas tell it, what stands now over the part of the fleet that it uses, as load reports say.
-        Guards cold servers of a site without quotas: taken for 100, a small one was sent 13 times its part.
+        It is what stands at all balancers, as this one sees its part, over the part of the warm servers'
+        capacity that it uses. Too few own connections tell nothing: refused clients stand nowhere.
         """
-        fleet = self._fleet
-        if not self._settings.tenants or not any(tenant.quota for tenant in self._settings.tenants):
-            warm = [b for b in fleet.order if b.cold_from is None]
-            told = [b for b in warm if b.used_at > self._now - USED_FOR]
-            size = sum(b.size for b in told)
-            used = sum(b.used * b.size for b in told) / size if size > 0 else USED_PART
-            stands = self._load * self._settings.balancers / max(1, len(warm))
-            fleet.carries = max(CARRIED, stands / max(used, USED_LEAST))
-        return fleet.carries
+        warm = [b for b in self._fleet.order if b.cold_from is None]
+        told = [b for b in warm if b.used_at > self._now - USED_FOR]
+        used = sum(b.used * b.size for b in told) / max(sum(b.size for b in told), USED_LEAST)
+        if self._fleet.quotas or used < USED_LEAST or len(self._flows) < CARRIES_SEEN:
+            return
+        carries = self._load * self._settings.balancers / len(warm) / used
+        self._fleet.carries += CARRIES_RATE * (carries - self._fleet.carries)
 
     def _cost(self, backend: Backend) -> float:
         """The own load of a server, with what it pays for the groups that it holds."""
--- a/puffinford/known.py
+++ b/puffinford/known.py
@@ -13,9 +13,8 @@
 from puffinford.hashing import stable_hash
 from puffinford.timers import Timers
 
-CARRIED = 10.0  # mean connections that a warm server is taken to carry at least, where nothing tells
+CARRIED = 100.0  # mean connections that a warm server is taken to carry until anything tells
 QUOTA_PART = 0.5  # of what the servers can carry is granted to tenants as quotas, about
-USED_PART = 0.5  # of what the servers can carry is taken to be in use, where no report tells
 RESTART_LEAST = 50.0  # starts of a server this close are the same one
 ROOM_FOR = 30_000.0  # what late messages have told of a server's room is forgotten after this
 
@@ -24,7 +23,8 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "away_at", "cell", "chance", "cold_from", "cordoned", "cordoned_at", "credit", "credit_until",
+        "away_at", "carries", "cell", "chance", "cold_from", "cordoned", "cordoned_at", "credit",
+        "credit_until",
         "delay", "down",
         "failures", "flows", "groups", "id", "late_at", "late_notes", "late_until", "listed", "load",
         "probed_at", "reach", "retry_at", "room", "room_at", "size", "slow_until", "sound_at", "started",
@@ -64,6 +64,7 @@
         self.used_at = float("-inf")
         self.probed_at = float("-inf")
         self.cold_from: float | None = None  # when it started, while it may still be cold
+        self.carries = 0.0  # mean connections that it is taken to carry when warm, by which turns are counted
         self.turn = -1  # the last of this balancer's turns at it while it is cold ...
         self.credit = 0.0  # ... the sends left of it ...
         self.credit_until = 0.0  # ... until then
