Ask the agent of the own machine again at once where lists are pushed

After a silence of the agent the watch ended and the module paused for up to nine seconds, as is right towards one list service for all balancers: a drain that came in that pause would have been broken. Where settings say pushed, a failed call is now repeated within 150 ms and the module does not pace it; a row of failures is one line in the log in ten seconds, and not six a second. The settable clock no longer cancels a limit that has ended.

--- a/puffinford/core/clock.py
+++ b/puffinford/core/clock.py
@@ -62,5 +62,10 @@
     @contextmanager
     def limit(self, ms: float) -> Iterator[anyio.CancelScope]:
         with anyio.CancelScope() as scope:
-            self._at(ms, scope.cancel)
-            yield scope
+            within = True
+            # Guards against cancelling what has ended long before its limit.
+            self._at(ms, lambda: scope.cancel() if within else None)
+            try:
+                yield scope
+            finally:
+                within = False
--- a/puffinford/known.py
+++ b/puffinford/known.py
@@ -221,8 +221,9 @@
 
     def _ask_later(self) -> None:
         # Guards against all balancers asking one list service at once, at the start and after an
-        # outage: full jitter, and never longer unasked than the rules allow.
-        if self._subscribed or self._asking:
+        # outage: full jitter, and never longer unasked than the rules allow. Where lists are pushed, the
+        # agent of the own machine is asked without a pause, and not from here.
+        if self._subscribed or self._asking or not self._settings.list_on_request:
             return
         most = self._settings.ask_within
         window = min(most * 0.9, most / 8 * 2.0 ** min(self._failures, 10))
--- a/puffinford/machines/discovery.py
+++ b/puffinford/machines/discovery.py
@@ -21,6 +21,8 @@
 LATE = 1_500.0  # after its wait a call that has no answer has failed; the rules count 2 s as told
 MOVED_FOR = 4_000.0  # after a move its news counts as told; until then a failed call is repeated soon
 MOVED_RETRY = 250.0
+AGENT_RETRY = 150.0  # where lists are pushed: a watch goes on if the next call follows within 200 ms
+SAID_EVERY = 10_000.0  # a call that fails again and again is logged no more often
 FETCH = 4_000.0  # a call that does not wait; discovery's queue alone may take 3 s
 ANSWER_MOST = 4 << 20
 
@@ -52,6 +54,7 @@
         self._unprompted = unprompted  # the module takes changes for told without asking
         self._watching: anyio.CancelScope | None = None
         self._moved_at = float("-inf")
+        self._said_at = float("-inf")
         self._asked = False
         self._tasks: anyio.abc.TaskGroup | None = None
 
@@ -106,6 +109,11 @@
                     path = f"{path}?index={self._version}&wait={wait}"
                 self._asked = True
                 if not await self._once(path, limit):
+                    if self._unprompted:
+                        # Guards the drains: what the agent of our own machine has counts as told, and it
+                        # costs nothing to ask. The pauses that the module makes are seconds long.
+                        await self._clock.sleep(AGENT_RETRY * (0.5 + 0.5 * self._rng.random()))
+                        continue
                     if self._clock.now() - self._moved_at >= MOVED_FOR:
                         break  # the module asks again
                     # Guards discovery against all balancers of a reload asking in step.
@@ -117,9 +125,12 @@
         try:
             machines = await self._call(path, wait)
         except CallFailed as exc:
-            log.warning("discovery failed", extra={"path": path, "error": str(exc)})
+            if self._clock.now() >= self._said_at + SAID_EVERY:
+                self._said_at = self._clock.now()
+                log.warning("discovery failed", extra={"path": path, "error": str(exc)})
             self._take(None)
             return False
+        self._said_at = float("-inf")
         log.info("discovery", extra={"version": machines.version, "entries": len(machines.machines)})
         self._version = self._take(machines)
         return True
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import random
 
 import anyio
+import anyio.abc
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from puffinford.core.clock import SettableClock
 from puffinford.core.notes import NoteKinds
 from puffinford.core.reports import BadReport, parse_report
+from puffinford.core.values import MachineList
 from puffinford.interface import Server
+from puffinford.machines.discovery import AGENT_RETRY, DiscoveryWatch
 from tests.stage import Peer, opening, stage
 from tests.stage import settings as told
 
@@ -150,3 +155,51 @@
         assert await first.line() == b"LOAD 460.2\r\n", "the client gets each line as it came"
         assert here.exchange.health()[0].delay == 460.2
         assert here.exchange.health()[0].server == Server("s-1").id
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("pushed", [True, False])
+async def test_an_agent_that_was_silent_is_asked_again_within_its_watch(
+    pushed: bool, caplog: pytest.LogCaptureFixture
+) -> None:
+    """What the agent has counts as told at once; after a silence the module paused for up to nine seconds."""
+    calls = 0
+    taken: list[MachineList | None] = []
+    heard = anyio.Event()
+
+    async def agent(stream: anyio.abc.SocketStream) -> None:
+        nonlocal calls
+        await Peer(stream).line()
+        calls += 1
+        if calls <= 40:
+            return  # it closes: discovery behind it is down
+        if calls > 41:
+            await anyio.sleep_forever()  # there is nothing newer
+        body = json.dumps({"version": 9, "full": True, "servers": []}).encode()
+        await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+    def take(machines: MachineList | None) -> int | None:
+        taken.append(machines)
+        heard.set()
+        return machines.version if machines else None
+
+    clock = SettableClock()
+    with caplog.at_level(logging.WARNING):
+        async with stage() as here:
+            port = await here.listen(agent)
+            watch = DiscoveryWatch(("127.0.0.1", port), None, clock, take, pushed, random.Random(1))
+            here.tasks.start_soon(watch.run)
+            await anyio.wait_all_tasks_blocked()
+            watch.subscribe(True)
+            for _ in range(41 if pushed else 1):
+                await heard.wait()
+                heard = anyio.Event()
+                await anyio.wait_all_tasks_blocked()  # the watch rests now ...
+                clock.advance(AGENT_RETRY)  # ... and no longer than this, or the next call never comes
+            await anyio.wait_all_tasks_blocked()
+    if pushed:
+        assert taken[:40] == [None] * 40 and taken[40] is not None
+        failed = [record for record in caplog.records if record.getMessage() == "discovery failed"]
+        assert len(failed) == 1, "40 failed calls in six seconds, and one line of them"
+    else:
+        assert calls == 1, "the module paces the calls to one service for all"
