Relieve a late server by what reports say it holds over, and others have room for

Where reports come on probes, a late server is now probed at its note, and loses only what it holds over its capacity, and that only as far as other servers have room; without a fresh report it is as before.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -43,6 +43,7 @@
 CARRIES_SEEN = 20  # own connections that it takes to learn from reports what servers carry ...
 CARRIES_RATE = 0.05  # ... by so much of the difference with each report ...
 CARRIES_STEP = 0.2  # ... and by so much of it before turns are counted anew
+USED_SOON = 4_000.0  # ... and one older than this not how much to move
 USED_FOR = 10_000.0  # a report older than this tells nothing
 PROBE_EVERY = 500.0  # servers refresh their reports at about this pace
 PROBE_SPEND = 0.005  # points of the result that the probes of one request may cost
@@ -506,7 +507,11 @@
         backend.late_notes = backend.late_notes + 1 if backend.late_at > self._now - SLOW_FOR else 1
         backend.late_at = self._now
         if self._limit == float("inf"):
-            self._move_some(backend)
+            if self._probes_each and not backend.relieve:
+                backend.relieve = True
+                self._do(it.Probe(backend.id))
+            else:
+                self._move_some(backend)
         if backend.late_notes >= 2 and not falling:
             backend.late_until = self._now + SLOW_FOR
             if not self._limiting and not self._fleet.thin:
@@ -532,6 +537,15 @@
             and not (flow.came_back and flow.sent_at > rested)
         ]
         moved.sort(key=lambda flow: (flow.cls.message_aim, -flow.load))
+        over = self._over(backend)
+        if over is not None:
+            due = over * backend.load
+            for flow in moved:
+                if due <= 0:
+                    break
+                due -= flow.load
+                self._close(flow)
+            return
         late = sum(b.late_at > self._now - SLOW_FOR for b in self._fleet.order)
         number = max(1.0, MOVE_PART * len(backend.flows) / max(1, late))
         if self._fleet.thin:
@@ -540,6 +554,25 @@
         for flow in moved[: int(number)]:
             self._close(flow)
 
+    def _over(self, backend: Backend) -> float | None:
+        """The part of its load that a late server should lose, as reports tell; None where they do not.
+
+        What it has over its capacity, and no more than the others have room for. Guards against moving most
+        clients of a small fleet to and fro: 25 from one of two servers to the other, 29 back, 34 again.
+        """
+        fresh = self._now - USED_SOON
+        if backend.used_at < fresh or not backend.used:
+            return None
+        others = [b for b in self._fleet.order if b is not backend and b.used_at >= fresh and self._usable(b)]
+        room = sum(max(0.0, FULL_UNTIL - b.used) * self._size(b) for b in others)
+        over = (backend.used - FULL_UNTIL) * self._size(backend)
+        return max(0.0, min(over, room)) / (backend.used * self._size(backend))
+
+    def _size(self, backend: Backend) -> float:
+        """What a server can carry beside the others, as far as it is told and for now."""
+        size = backend.size if self._settings.sized and backend.size > 0 else 1.0
+        return size * self._warmth(backend)
+
     def _on_left(self, event: it.ClientLeft) -> None:
         flow = self._flows.pop(event.id, None)
         if flow is None:
@@ -558,8 +591,13 @@
 
     def _on_probe(self, event: it.ProbeResult) -> None:
         backend = self._fleet.backends.get(event.server)
-        if backend is not None and event.result is it.Result.OK:
+        if backend is None:
+            return
+        if event.result is it.Result.OK:
             self._take_report(backend, event.report)
+        if backend.relieve:
+            backend.relieve = False
+            self._move_some(backend)
 
     def _take_report(self, backend: Backend, report: list[float] | None) -> None:
         """Remember the reported load over capacity, the best sign of room there is."""
@@ -790,10 +828,7 @@
 
     def _weight(self, backend: Backend) -> float:
         """Own open connections, by their load and the server's size where these are told."""
-        size = self._warmth(backend)
-        if self._settings.sized and backend.size > 0:
-            size *= backend.size
-        return backend.load / size
+        return backend.load / self._size(backend)
 
     def _pick(self, flow: Flow) -> Backend | None:
         now = self._now
--- a/puffinford/known.py
+++ b/puffinford/known.py
@@ -27,8 +27,8 @@
         "credit_until",
         "delay", "down",
         "failures", "flows", "groups", "id", "late_at", "late_notes", "late_until", "listed", "load",
-        "probed_at", "reach", "retry_at", "room", "room_at", "size", "slow_until", "sound_at", "started",
-        "trial", "turn", "unproven", "used", "used_at", "used_since", "zone",
+        "probed_at", "reach", "relieve", "retry_at", "room", "room_at", "size", "slow_until", "sound_at",
+        "started", "trial", "turn", "unproven", "used", "used_at", "used_since", "zone",
     )  # fmt: skip
 
     def __init__(self, server: it.Server) -> None:
@@ -58,6 +58,7 @@
         self.room_at = float("-inf")  # ... at that time
         self.chance = 0.0  # what a part of one connection has to come to, where views are thin
         self.late_notes = 0  # notes of late messages in a row
+        self.relieve = False  # late, and asked for a report that tells how much to move
         self.delay = 0.0
         self.used = 0.0  # reported load over capacity
         self.used_since = 0.0  # load placed since that report
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -565,6 +565,27 @@
     assert seen == moves
 
 
+@pytest.mark.parametrize(
+    ("here", "there", "moves"),
+    [(1.7, 0.1, 9), (1.7, 0.8, 1), (1.7, 0.9, 0), (0.8, 0.1, 0), (None, 0.1, 14)],
+)
+def test_a_late_server_loses_what_reports_say_is_over_and_others_have_room_for(
+    here: float | None, there: float, moves: int
+) -> None:
+    """Most clients went at once whatever it held: the next server was late then, and they came back."""
+    told = settings(balancers=1, report_fields=["x0"], report_on_probe=True, may_probe=True)
+    script = Script(told, 2)
+    for n in range(40):
+        script.play(Inherited(Request(f"r{n}", "safe", 0.0), f"10.0.0.{n % 2}:80"))
+    script.play(ProbeResult("10.0.0.1:80", Result.OK, 1.0, [there]))
+    noted = script.play(DelayNote("r0", "10.0.0.0:80", 500.0))
+    assert [action for action in noted if isinstance(action, Probe)] == [Probe("10.0.0.0:80")]
+    assert "Move" not in kinds(noted), "not before the report is there"
+    report = None if here is None else [here]
+    result = Result.TIMEOUT if here is None else Result.OK
+    assert kinds(script.play(ProbeResult("10.0.0.0:80", result, 1.0, report))).count("Move") == moves
+
+
 def test_the_group_of_a_sick_server_spreads_over_two_others() -> None:
     script = Script(settings(grouped=True, balancers=1), 3)
     home = script.open("a", group=7)
