--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -34,6 +34,7 @@
     ServerState,
     SetTimer,
     Settings,
+    Standing,
     Subscribe,
     Tenant,
     Timer,
@@ -723,3 +724,37 @@
 def test_settings_that_cannot_be_used_name_the_setting(changes: dict[str, object], name: str) -> None:
     with pytest.raises(ValueError, match=name):
         settings(**changes)
+
+
+def test_the_mean_load_is_that_of_the_loads_told() -> None:
+    """The first one stood for a hundred more: at 1,000 every client of 60,000 counted for up to sixty."""
+    script = Script(settings(tells_load=True, balancers=1), 2)
+    for n in range(20):
+        script.open(f"r{n}", key=n)
+    for n in range(20):
+        script.play(LoadNote(f"r{n}", "10.0.0.0:80", 1_000.0 if n == 0 else 60_000.0))
+    loads = [row.load for server in ("10.0.0.0:80", "10.0.0.1:80") for row in standing(script, server)]
+    assert 0.5 < sum(loads) / len(loads) < 2.0
+
+
+def standing(script: Script, server: str) -> list[Standing]:
+    return script.balancer.known.standing(server, 50)
+
+
+def test_a_cold_server_gets_turns_again_soon_after_it_is_taken_to_carry_less() -> None:
+    """Turns were numbered by the figure of the moment: none came due until the new count had caught up."""
+    script = Script(settings(cold_from=0.13, warm_time=23_000.0, fall_window=1_000.0, balancers=3), 2)
+    cold = "10.0.0.1:80"
+    script.play(ServerList(ListKind.UPDATE, [Server(cold, started=script.now)]))
+
+    def places(name: str, count: int) -> list[str]:
+        made = []
+        for n in range(count):
+            script.play(after=100.0)
+            made.append(script.open(f"{name}{n}"))
+            script.end(f"{name}{n}", made[-1], Result.OK, closed=True)
+        return made
+
+    assert cold in places("before", 80)
+    script.balancer._fleet.carries = 20.0
+    assert cold in places("after", 40)
