Judge a server without a told weight by one size, and reckon what servers carry only when it can tell

Read once more: a weight of 0, which is none, gave a cold server no turn at all where sizes are told, and the estimate of what servers carry was worked out before it was known to count. Weights count there as in every other decision now.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -43,8 +43,8 @@
 CARRIES_SEEN = 20  # own connections that it takes to learn from reports what servers carry ...
 CARRIES_RATE = 0.05  # ... by so much of the difference with each report ...
 CARRIES_STEP = 0.2  # ... and by so much of it before turns are counted anew
-USED_SOON = 4_000.0  # ... and one older than this not how much to move
 USED_FOR = 10_000.0  # a report older than this tells nothing
+USED_SOON = 4_000.0  # and one older than this not how many connections to move
 PROBE_EVERY = 500.0  # servers refresh their reports at about this pace
 PROBE_SPEND = 0.005  # points of the result that the probes of one request may cost
 STRAINED = 0.25  # with more of the known servers strained than this the fleet is full, not one server sick
@@ -716,7 +716,8 @@
         balancers = self._settings.balancers
         window = self._settings.fall_window or 1_000.0  # guards against settings that tell no window
         # The budget of a window has to hold the turns that fall into it and those left from before.
-        part = min(1.0, backend.size / self._fleet.mean_size) if self._fleet.mean_size > 0 else 1.0
+        told = backend.size > 0 and self._fleet.mean_size > 0
+        part = min(1.0, backend.size / self._fleet.mean_size) if told else 1.0
         carries = self._fleet.carries * part
         changed = abs(carries - backend.carries) > CARRIES_STEP * carries
         if changed:
@@ -746,10 +747,12 @@
         It is what stands at all balancers, as this one sees its part, over the part of the warm servers'
         capacity that it uses. Too few own connections tell nothing: refused clients stand nowhere.
         """
+        if self._fleet.quotas or len(self._flows) < CARRIES_SEEN:
+            return
         warm = [b for b in self._fleet.order if b.cold_from is None]
-        told = [b for b in warm if b.used_at > self._now - USED_FOR]
-        used = sum(b.used * b.size for b in told) / max(sum(b.size for b in told), USED_LEAST)
-        if self._fleet.quotas or used < USED_LEAST or len(self._flows) < CARRIES_SEEN:
+        sizes = {b: self._size(b) for b in warm if b.used_at > self._now - USED_FOR}
+        used = sum(b.used * size for b, size in sizes.items()) / (sum(sizes.values()) or 1.0)
+        if used < USED_LEAST:
             return
         carries = self._load * self._settings.balancers / len(warm) / used
         self._fleet.carries += CARRIES_RATE * (carries - self._fleet.carries)
