Know each change within 6 s of discovery having it: another call beside a late one

Cause: a watch that fell silent was held 6.5 s, a call that hung 4 s, and the module then paused up to 9 s; the operators count a change as told 6 s after discovery had it and could be reached, whatever calls failed. Change: a watch waits 4 s; 0.4 s past it (1 s for a call that does not wait) another goes beside it, three out at most, the first answer counts; pauses after failures are 3 s at most. Arithmetic at the head of discovery.py. A watch answered at once without news is asked again after 100 ms: it took the core.

--- a/puffinford/machines/discovery.py
+++ b/puffinford/machines/discovery.py
@@ -1,4 +1,10 @@
-"""The discovery watch: HTTP/1.1 through h11, one call after the other."""
+"""The discovery watch: HTTP/1.1 through h11, one call after the other, and others beside one that is late.
+
+A change counts as told 6 s after discovery had it and could be reached, whatever calls failed. The bound on
+the list's staleness, in ms (docs/design-ends.md has the arithmetic): a watch that falls silent is out for
+WAIT + LATE + JITTER, a call beside it that hangs too for BESIDE + JITTER; after a failure the module pauses
+3,000 at most, and two calls that hang take as long each. Either leaves the answer itself 400 ms or more.
+"""
 
 from __future__ import annotations
 
@@ -17,14 +23,19 @@
 
 log = logging.getLogger(__name__)
 
-WAIT = 5_000  # how long a watch call may wait at discovery: what a call that hangs holds back
-LATE = 1_500.0  # after its wait a call that has no answer has failed; the rules count 2 s as told
+WAIT = 4_000  # how long a watch call may wait at discovery: what a call that hangs holds back
+LATE = 400.0  # after its wait a watch without an answer is late ...
+BESIDE = 1_000.0  # ... as any call is after this: another, which does not wait, goes beside it ...
+BESIDE_LONG = 2_500.0  # ... and once OUT_MOST are out, so that a long silence costs discovery few calls
+JITTER = 100.0  # at most, drawn each time: watches that fell silent together are not late together
+OUT_MOST = 3  # calls out at once; discovery's queue alone may take 3 s, so one is not given up before
+SAME_LEAST = 100.0  # between answers with no news, with room for the 200 ms in which a watch goes on
 MOVED_FOR = 4_000.0  # after a move its news counts as told; until then a failed call is repeated soon
 MOVED_RETRY = 250.0
 AGENT_RETRY = 150.0  # where lists are pushed: a watch goes on if the next call follows within 200 ms
 SAID_EVERY = 10_000.0  # a call that fails again and again is logged no more often
-FETCH = 4_000.0  # a call that does not wait; discovery's queue alone may take 3 s
 ANSWER_MOST = 4 << 20
+WHOLE = "/v1/servers"
 
 
 class CallFailed(Exception):
@@ -106,39 +117,43 @@
 
     def fetch(self) -> None:
         if self._tasks is not None:
-            self._tasks.start_soon(self._once, "/v1/servers", FETCH)
+            self._tasks.start_soon(self._once, WHOLE, 0.0)
 
     async def _watch(self, scope: anyio.CancelScope) -> None:
         """Calls on end: the rules count one watch while each next call follows within 200 ms."""
         with scope:
             while True:
-                path, limit = "/v1/servers", FETCH
-                if self._version is not None:
-                    # Guards a new process against being told nothing for 5 s: the known list may be old, and
-                    # until it has heard from discovery it is not ready.
-                    wait, limit = (WAIT, WAIT + LATE) if self._asked else (0, FETCH)
-                    path = f"{path}?index={self._version}&wait={wait}"
+                # Guards a new process against being told nothing for seconds: the known list may be old, and
+                # until it has heard from discovery it is not ready.
+                wait = WAIT if self._version is not None and self._asked else 0
                 self._asked = True
-                if not await self._once(path, limit):
-                    if self._unprompted:
-                        # Guards the drains: what the agent of our own machine has counts as told, and it
-                        # costs nothing to ask. The pauses that the module makes are seconds long.
-                        await self._clock.sleep(AGENT_RETRY * (0.5 + 0.5 * self._rng.random()))
-                        continue
-                    if self._clock.now() - self._moved_at >= MOVED_FOR:
-                        break  # the module asks again
-                    # Guards discovery against all balancers of a reload asking in step.
-                    await self._clock.sleep(MOVED_RETRY * (0.5 + self._rng.random()))
+                began, version = self._clock.now(), self._version
+                if await self._once(self._path(wait), wait):
+                    if wait and self._version == version and self._clock.now() < began + SAME_LEAST:
+                        # Guards our own core against a discovery that answers a watch at once without news.
+                        await self._clock.sleep(SAME_LEAST)
+                    continue
+                if self._unprompted:
+                    # Guards the drains: what the agent of our own machine has counts as told, and it
+                    # costs nothing to ask. The pauses that the module makes are seconds long.
+                    await self._clock.sleep(AGENT_RETRY * (0.5 + 0.5 * self._rng.random()))
+                    continue
+                if self._clock.now() - self._moved_at >= MOVED_FOR:
+                    break  # the module asks again
+                # Guards discovery against all balancers of a reload asking in step.
+                await self._clock.sleep(MOVED_RETRY * (0.5 + self._rng.random()))
         if self._watching is scope:
             self._watching = None
 
+    def _path(self, wait: int) -> str:
+        return WHOLE if self._version is None else f"{WHOLE}?index={self._version}&wait={wait}"
+
     async def _once(self, path: str, wait: float) -> bool:
+        """One answer: that of whichever call brings it first, the one for `path` or those beside it."""
         try:
-            machines = await self._call(path, wait)
+            machines = await self._first(path, wait)
         except CallFailed as exc:
-            if self._clock.now() >= self._said_at + SAID_EVERY:
-                self._said_at = self._clock.now()
-                log.warning("discovery failed", extra={"path": path, "error": str(exc)})
+            self._say(path, str(exc))
             self._take(None)
             return False
         self._said_at = float("-inf")
@@ -146,15 +161,53 @@
         self._version = self._take(machines)
         return True
 
-    async def _call(self, path: str, wait: float) -> MachineList:
-        body = None
+    def _say(self, path: str, error: str) -> None:
+        if self._clock.now() >= self._said_at + SAID_EVERY:
+            self._said_at = self._clock.now()
+            log.warning("discovery failed", extra={"path": path, "error": error})
+
+    async def _first(self, path: str, wait: float) -> MachineList:
+        """Guards the list's age against calls that hang: none is waited for alone.
+
+        Raises CallFailed once every call out has failed.
+        """
+        answer: MachineList | None = None
+        failure = CallFailed("no call was made")
+        out: dict[anyio.CancelScope, None] = {}  # the oldest first
+        async with anyio.create_task_group() as calls:
+
+            async def call(path: str) -> None:
+                nonlocal answer, failure
+                with anyio.CancelScope() as scope:
+                    out[scope] = None
+                    try:
+                        answer = await self._call(path)
+                    except CallFailed as exc:
+                        failure = exc
+                    out.pop(scope, None)
+                    if answer is not None or not out:
+                        calls.cancel_scope.cancel()
+
+            calls.start_soon(call, path)
+            late = wait + LATE if wait else BESIDE
+            while True:
+                await self._clock.sleep(late + JITTER * self._rng.random())
+                if len(out) >= OUT_MOST:
+                    oldest = next(iter(out))
+                    del out[oldest]
+                    oldest.cancel()
+                    self._say(path, "no answer in time")
+                calls.start_soon(call, self._path(0))
+                late = BESIDE if len(out) < OUT_MOST - 1 else BESIDE_LONG
+        if answer is None:
+            raise failure
+        return answer
+
+    async def _call(self, path: str) -> MachineList:
         try:
-            with self._clock.limit(wait):
-                body = await self._get(path)
+            body = await self._get(path)
         except (OSError, anyio.BrokenResourceError, anyio.EndOfStream, h11.ProtocolError) as exc:
             raise CallFailed(f"{type(exc).__name__}: {exc}") from None
-        if body is None:
-            raise CallFailed("no answer in time")
         try:
             return machine_list(
                 json.loads(body),
