Look once more before an attempt's first byte, and close lingering over unread bytes

Change: the exchange's _admit, before an attempt and again before its first byte; the module tells until when a repeat may begin, and whether a request given up may be refused; a class made stricter by SIGHUP binds at once; Wire.end is a lingering close bounded in time, bytes and number, and gives way to newcomers. test_bounds said that a refused client holds nothing at once: it holds one descriptor for 0.8 s now, and must get its answer where a reset was allowed before. Every story's end now checks that no request, leg or count is left. Ruled out: a move beside a server's end, cancel beside its answer, UP beside an attempt's timeout: one answer before.

--- a/puffinford/balance.py
+++ b/puffinford/balance.py
@@ -231,6 +231,14 @@
         self._take_settings(settings)
         self._fleet.configure(settings)
         self._set_until = -1.0
+        for flow in self._flows.values():
+            if flow.cls.name in self._classes:
+                flow.bind(self._classes[flow.cls.name])
+
+    def harmless(self, ident: str, out: bool) -> bool:
+        """Whether a request given up now may be refused; `out`: its present attempt was sent whole."""
+        flow = self._flows.get(ident)
+        return flow is None or flow.may_be_refused(out)
 
     def handle(self, now: float, events: list[it.Event]) -> list[it.Action]:
         self._now = now
@@ -1003,7 +1011,7 @@
         flow.sent += 1
         flow.sent_at = now
         flow.tried.append(backend)
-        self._do(it.Attempt(flow.id, backend.id, timeout))
+        self._do(it.Attempt(flow.id, backend.id, timeout, flow.repeat_until()))
 
     def _holder(self, flow: Flow) -> Backend | None:
         """The server that still holds this open connection, where packets pass through and it is known.
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -64,7 +64,7 @@
 class Claim:
     """One attempt at a server."""
 
-    __slots__ = ("leg", "machine", "number", "scope", "started", "unanswered")
+    __slots__ = ("leg", "machine", "number", "scope", "sent", "started", "unanswered")
 
     def __init__(self, machine: Machine, number: int, started: float) -> None:
         self.machine = machine
@@ -72,6 +72,7 @@
         self.started = started
         self.scope = anyio.CancelScope()
         self.leg: Leg | None = None  # set once it stands
+        self.sent = False  # the last byte of the opening was written: it may run
         self.unanswered = Unanswered()
 
 
@@ -280,8 +281,26 @@
                 self._news = anyio.Event()
         return now < self._doubted and not self._news.is_set()
 
-    async def _believe(self, machine: Machine) -> None:
-        """Wait until the list can be trusted; raises ClaimEnded where the machine is to get nothing new.
+    async def _admit(self, job: Job, claim: Claim, until: float) -> None:
+        """The last look before an attempt, and again before its first byte; raises ClaimEnded.
+
+        Guards the server against a client that has gone, though its end may lie unread; against what the list
+        or the operators have told since the choice, while the attempt waited or connected; and against a
+        repeat later than the window in which the servers discard it (`until`).
+        """
+        if await job.submitter.left() or job.ending is not None:
+            self._abandon(job, Ending(broken=True))
+            raise ClaimEnded(it.Result.CANCELLED)
+        ident = claim.machine.server.id
+        if job.opening.at is None:
+            now = self._machines.get(ident)
+            if now is None or now.server.state is not it.ServerState.LIVE or ident in self.cordoned:
+                raise ClaimEnded(it.Result.MOOT)
+        if self._clock.now() >= until:
+            raise ClaimEnded(it.Result.MOOT)
+
+    async def _believe(self) -> None:
+        """Wait until the list can be trusted.
 
         Guards a server that was told to drain while the program stood still: what had been written to it
         counts as told, and clients of before the stop were sent there for a second after it.
@@ -289,10 +308,6 @@
         if self._in_doubt():
             with self._clock.limit(self._doubted - self._clock.now()):
                 await self._news.wait()
-        # Guards also what was decided in the moment before a list came, and starts in the one after.
-        now = self._machines.get(machine.server.id)
-        if now is None or now.server.state is not it.ServerState.LIVE:
-            raise ClaimEnded(it.Result.MOOT)
 
     def _take(self, machines: MachineList, kind: it.ListKind) -> None:
         if kind is not it.ListKind.UPDATE:
@@ -537,6 +552,7 @@
             return
         if opening.cls in self._classes:
             self.figures.add(opening.cls, Count.REFUSED if busy else Count.FAILED)
+        await submitter.end()
 
     # The submitter's side of a job
 
@@ -594,29 +610,41 @@
             else:
                 job.claims += 1
                 job.claim = Claim(machine, number, self._clock.now())
-                job.tasks.start_soon(self._claim, job, job.claim, action.timeout)
+                job.tasks.start_soon(self._claim, job, job.claim, action.timeout, action.until)
                 return
         closed = job is None or job.ending is not None
         self._tell(it.Outcome(action.id, number, action.server, result, 0.0, closed))
 
-    async def _try(self, job: Job, claim: Claim, wait: float) -> tuple[Up | None, ClaimEnded]:
-        """One claim, up or ended; cancelled it gives nothing back but its result."""
+    async def _try(
+        self, job: Job, claim: Claim, wait: float, until: float = float("inf")
+    ) -> tuple[Up | None, ClaimEnded]:
+        """One attempt, up or ended; cancelled it gives nothing back but its result."""
         ended = ClaimEnded(it.Result.CANCELLED)
         up = None
         with claim.scope:
             try:
                 if job.opening.at is None:
-                    await self._believe(claim.machine)
+                    await self._believe()
+                admit = partial(self._admit, job, claim, until)
+                await admit()
                 side = self._sides[claim.machine.front]
-                sent = partial(self.figures.add, job.opening.cls, Count.ATTEMPTS)
-                claim.leg, up = await side.claim(claim.machine, job.opening, wait, sent)
+                sent = partial(self._sent, job, claim)
+                claim.leg, up = await side.claim(claim.machine, job.opening, wait, admit, sent)
             except ClaimEnded as exc:
                 ended = exc
         return up, ended
 
-    async def _claim(self, job: Job, claim: Claim, timeout: float) -> None:
+    def _sent(self, job: Job, claim: Claim) -> None:
+        claim.sent = True
+        self.figures.add(job.opening.cls, Count.ATTEMPTS)
+
+    async def _claim(self, job: Job, claim: Claim, timeout: float, until: float) -> None:
         left = job.deadline - claim.started
-        up, ended = await self._try(job, claim, min(timeout, left) if timeout > 0 else left)
+        up, ended = await self._try(job, claim, min(timeout, left) if timeout > 0 else left, until)
+        if job.ending is not None and claim.leg is not None:
+            # Guards the one final answer: UP came in the turn in which another was given, or the client left.
+            # The leg ends with the job, and the module has heard that its client is gone.
+            return
         server = claim.machine.server.id
         latency = self._clock.now() - claim.started
         if up is not None:
@@ -628,13 +656,16 @@
         if ended.result is it.Result.ERROR:
             told["figures"] = str(job.opening.figures)[:300]  # the opening may be at fault
         log.info("claim ended", extra={**told, "ms": round(latency, 1)})
-        if ended.result is it.Result.OK and job.ending is None:
-            # Served to its end before it ever stood: what the server sent is the answer.
+        served = ended.result is it.Result.OK and job.ending is None
+        if served:
+            # Served to its end before it ever stood: what the server sent is the answer, and the only one.
+            job.ending = Ending()
             await self._pass_all(job, ended.messages)
-            self._finish(job.id, Ending())
         closed = job.ending is not None
         report = self._report(server, ended.report) if self._settings.report_on_answer else None
         self._tell(it.Outcome(job.id, claim.number, server, ended.result, latency, closed, report))
+        if served:
+            job.done.set()
 
     async def _pass_all(self, job: Job, messages: tuple[Message, ...]) -> None:
         try:
@@ -799,8 +830,11 @@
         for job in list(self._jobs.values()):
             if job.standing:
                 self._close(job, Ending(move=True), it.Result.CANCELLED)
-            else:
+            elif self._balancer.harmless(job.id, job.claim is not None and job.claim.sent):
                 self._abandon(job, Ending(Busy(self._settings.max_retry_after, "leaving")))
+            else:
+                # Guards an effect against happening twice: a refusal says that trying again is harmless.
+                self._abandon(job, Ending(Failed("leaving")))
         while self._jobs:
             await self._clock.sleep(20.0)
 
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -180,8 +180,11 @@
 
 
 class SubmitterLeg(Leg, Protocol):
+    async def left(self) -> bool:
+        """Whether the client has ended or cancelled, as far as that has arrived, read or not."""
+
     async def answer(self, answer: Up | Busy | Failed) -> None:
-        """The one answer to the opening. Any but UP is the last of the connection."""
+        """The one answer to the opening. Any but UP is the last of the connection, and `end` follows."""
 
     async def move(self) -> None:
         """Tell the submitter to come back through the front."""
@@ -189,11 +192,17 @@
 
 class ServerSide(Protocol):
     async def claim(
-        self, machine: Machine, opening: Opening, wait: float, sent: Callable[[], None]
+        self,
+        machine: Machine,
+        opening: Opening,
+        wait: float,
+        admit: Callable[[], Awaitable[None]],
+        sent: Callable[[], None],
     ) -> tuple[Leg, Up]:
-        """Make a claim; raises ClaimEnded with its result, TIMEOUT after `wait`.
+        """Make an attempt; raises ClaimEnded with its result, TIMEOUT after `wait`.
 
-        `sent` is called once the last byte of the opening has been written.
+        `admit` is awaited once the connection is there, right before the first byte of the opening, and may
+        end the attempt; `sent` is called once its last byte has been written.
         """
 
     async def probe(self, machine: Machine, wait: float, load: bool) -> tuple[Result, str]:
--- a/puffinford/fronts/channels/leg.py
+++ b/puffinford/fronts/channels/leg.py
@@ -52,6 +52,9 @@
         extra = codec.uint32(min(int(note), 0xFFFFFFFF)) if kind is Kind.NOTE else b""
         self._channel.request(_NAMES[kind], extra)
 
+    async def left(self) -> bool:
+        return await self._channel.left()
+
     async def answer(self, answer: Up | Busy | Failed) -> None:
         channel = self._channel
         if channel.gone or channel.settled.is_set():
--- a/puffinford/fronts/channels/mux.py
+++ b/puffinford/fronts/channels/mux.py
@@ -143,6 +143,10 @@
     def closing(self) -> bool:
         return self._closed_out
 
+    async def left(self) -> bool:
+        """Whether the peer has given the channel up, or is gone, read or not."""
+        return await self.mux.ended() or self._closed_in or self._eof_in or self.gone
+
     def withdraw(self) -> None:
         """The peer has given up an open that is not answered yet: for its job the channel has closed."""
         self._closed_in = True
@@ -264,7 +268,7 @@
             for channel in pending:
                 channel.lost()
             self._channels.clear()
-            self._wire.close()
+            await self._wire.end()
 
     async def _goodbye(self, fault: codec.Malformed | None, pending: list[Channel]) -> None:
         """Answer each open that still waits, close what stands, say why, and go."""
@@ -285,6 +289,10 @@
 
     # Reading
 
+    async def ended(self) -> bool:
+        """Whether the peer's end has arrived; what came before it has been taken in."""
+        return self.over or await self._wire.ended()
+
     async def _read(self) -> codec.Malformed | None:
         packets = codec.Packets(banner=self._client)
         try:
--- a/puffinford/fronts/channels/server.py
+++ b/puffinford/fronts/channels/server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 import anyio.abc
@@ -56,7 +56,12 @@
         return mux
 
     async def claim(
-        self, machine: Machine, opening: Opening, wait: float, sent: Callable[[], None]
+        self,
+        machine: Machine,
+        opening: Opening,
+        wait: float,
+        admit: Callable[[], Awaitable[None]],
+        sent: Callable[[], None],
     ) -> tuple[ChannelLeg, Up]:
         started = self._clock.now()
         mux = None
@@ -64,7 +69,10 @@
             mux = await self._mux(machine)
         if mux is None:
             raise ClaimEnded(Result.CONNECT_FAILED)
+        await admit()
         left = wait - (self._clock.now() - started)
+        if left <= 0:
+            raise ClaimEnded(Result.CONNECT_FAILED)
         try:
             channel = await mux.open(encode_opening(opening, left), sent)
         except (Broken, Refused):
--- a/puffinford/fronts/lines/leg.py
+++ b/puffinford/fronts/lines/leg.py
@@ -43,6 +43,14 @@
             await checkpoint()
         return line
 
+    def ready_line(self) -> bytes | None:
+        """A line that has arrived whole though nobody has read it yet."""
+        self._reader.feed(self._wire.read_ready())
+        return self._reader.next()
+
+    async def left(self) -> bool:
+        return await self._wire.ended()
+
     async def receive(self) -> Message:
         return codec.decode_message(await self.read_line())
 
--- a/puffinford/fronts/lines/server.py
+++ b/puffinford/fronts/lines/server.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from puffinford.core.clock import Clock
 from puffinford.core.values import Broken, ClaimEnded, Ended, Machine, Opening, Up
@@ -31,7 +31,12 @@
         return wire
 
     async def claim(
-        self, machine: Machine, opening: Opening, wait: float, sent: Callable[[], None]
+        self,
+        machine: Machine,
+        opening: Opening,
+        wait: float,
+        admit: Callable[[], Awaitable[None]],
+        sent: Callable[[], None],
     ) -> tuple[LineLeg, Up]:
         started = self._clock.now()
         wire = await self._connect(machine, wait)
@@ -40,7 +45,10 @@
         line, report = b"", ""
         standing = False
         try:
+            await admit()
             left = wait - (self._clock.now() - started)
+            if left <= 0:
+                raise ClaimEnded(Result.CONNECT_FAILED)
             try:
                 await wire.write(codec.encode_opening(opening, left))
             except Broken:
--- a/puffinford/fronts/lines/submitter.py
+++ b/puffinford/fronts/lines/submitter.py
@@ -34,6 +34,8 @@
                 line = b""
                 with self._door.wait(wait) as heard:
                     line = await leg.read_line(heard)
+                # Guards the line that came in the moment in which its time was up, or its place was needed.
+                line = line or leg.ready_line() or b""
                 if not line:
                     raise codec.BadLine("no line in time")
                 first = codec.decode_first(line)
@@ -50,5 +52,6 @@
             seldom.info("bad first line", error=str(exc), line=repr(line[:80]))
             with contextlib.suppress(Broken):
                 await leg.answer(Failed(str(exc)))
+                await leg.end()
         except (Ended, Broken):
             pass
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -1,8 +1,8 @@
 """What both fronts do with TCP connections, and the bounds on what a peer can make them hold.
 
 Each bound stands here once. Bytes: a connection is read in pieces of READ_MOST, never ahead of what takes
-them. Unread input: an ended connection is read on for at most LINGER and LINGER_BYTES, an answered one not
-at all. Silent ones: `Door`. Descriptors: `Budget`.
+them. Unread input: an ended connection is read on for at most LINGER and LINGER_BYTES, and at most one of
+LINGER_PART of the descriptors is in that state. Silent ones: `Door`. Descriptors: `Budget`.
 """
 
 from __future__ import annotations
@@ -33,8 +33,12 @@
 LINES_TURN = 32  # lines of one connection passed on before others have their turn
 READ_MOST = 16_384  # bytes taken from a connection at a time
 LINGER = 800.0  # how long an ended connection waits for its peer's end; the rules allow 1 s
-LINGER_BYTES = 65_536  # what it reads meanwhile
+LINGER_BYTES = 2 << 20  # what it reads meanwhile; bad clients send a million bytes at once
+LINGER_READ = 65_536  # at a time
+LINGER_PART = 16  # such connections may hold this part of the descriptors, one of sixteen ...
+LINGER_LEAST = 8  # ... or so many; and they give way to newcomers first
 LAST_MOST = 500.0  # for a peer to take the last piece of a connection
+CATCH_UP = 4  # turns of the loop in which what has arrived is read, before a peer counts as still there
 ACCEPT_RETRY = 50.0  # after a failed accept, as when descriptors have run out
 ACCEPT_TURN = 16  # connections accepted before others have their turn
 BACKLOG = 1024
@@ -56,6 +60,7 @@
         self.limit = limit
         self.reserve = reserve
         self.used = 0
+        self._lingering: dict[anyio.CancelScope, None] = {}  # the one that has been at it longest first
         self.elsewhere: Callable[[], int] = int  # descriptors of another version, under the same limit
         self.changed: Callable[[], object] = int  # hears of each socket made or closed
 
@@ -72,6 +77,28 @@
         """Whether one more client and its server would not fit."""
         return self.used + self.elsewhere() + 2 > self.limit - self.reserve
 
+    @contextmanager
+    def linger(self, scope: anyio.CancelScope) -> Iterator[None]:
+        """A lingering close; `scope` is cancelled where its place is needed."""
+        self._lingering[scope] = None
+        self.spare(max(0, self.lingering - max(LINGER_LEAST, self.limit // LINGER_PART)))
+        try:
+            yield
+        finally:
+            self._lingering.pop(scope, None)
+
+    @property
+    def lingering(self) -> int:
+        return len(self._lingering)
+
+    def spare(self, count: int) -> int:
+        """Cut so many lingering closes short, the oldest first; how many there were to cut."""
+        cut = list(self._lingering)[:count]
+        for scope in cut:
+            del self._lingering[scope]
+            scope.cancel()
+        return len(cut)
+
 
 class Wire:
     """A TCP connection: chunks in, whole pieces out, and the ways to end it."""
@@ -87,13 +114,13 @@
         self._closed = False
         budget.take()
 
-    async def read(self) -> bytes:
+    async def read(self, most: int = READ_MOST) -> bytes:
         # Guards the others against a peer that sends at full speed: each piece waits its turn.
         await checkpoint()
         try:
             while True:
                 try:
-                    data = self._sock.recv(READ_MOST)
+                    data = self._sock.recv(most)
                 except BlockingIOError:
                     await anyio.wait_readable(self._sock)
                 else:
@@ -104,6 +131,30 @@
             raise Ended
         return data
 
+    def read_ready(self) -> bytes:
+        """What has arrived and is not read yet, without waiting; empty where that is nothing or the end."""
+        try:
+            return self._sock.recv(READ_MOST)
+        except (OSError, ValueError):
+            return b""
+
+    async def ended(self) -> bool:
+        """Whether the peer's end has arrived, read or not, once what came before it has had its readers.
+
+        Guards a server against work for a client that has gone: where the loop is late, its FIN lies unread
+        behind the timer or the answer that starts the next attempt.
+        """
+        for _ in range(CATCH_UP):
+            try:
+                if not self._sock.recv(1, socket.MSG_PEEK):
+                    return True
+            except BlockingIOError:
+                return False
+            except (OSError, ValueError):
+                return True
+            await checkpoint()
+        return False
+
     async def write(self, data: bytes) -> None:
         """Write a piece whole, never within another."""
         try:
@@ -129,29 +180,29 @@
             raise Broken(str(exc)) from None
 
     async def end(self) -> None:
-        """FIN, wait a moment for the peer's, close.
+        """Lingering close: FIN, read on for a moment until the peer's, close.
 
-        Guards against the RST that a close with unread bytes sends: it would overtake the last line.
+        Guards against the RST that a close over unread bytes sends: it would overtake the last line. Bounded
+        in time, in bytes and, over all connections, in number.
         """
         try:
-            with self.clock.limit(LINGER), contextlib.suppress(Ended, Broken):
+            held = contextlib.suppress(Ended, Broken)
+            with self.clock.limit(LINGER) as scope, self._budget.linger(scope), held:
                 await self.end_sending()
                 left = LINGER_BYTES
                 while left > 0:
-                    left -= len(await self.read())
+                    left -= len(await self.read(LINGER_READ))
         finally:
             self.close()
 
     async def finish(self, data: bytes) -> None:
-        """Write a last piece and close, whatever the peer still sends; raises Broken.
-
-        Guards against clients that are answered and stay, or send on: they hold nothing here.
-        """
-        try:
-            with self.clock.limit(LAST_MOST):
-                await self.write(data)
-        finally:
-            self.close()
+        """Write the last piece, which a peer has LAST_MOST to take, before `end`; raises Broken."""
+        taken = False
+        with self.clock.limit(LAST_MOST):
+            await self.write(data)
+            taken = True
+        if not taken:
+            raise Broken("the last piece was not taken")
 
     def close(self) -> None:
         if not self._closed:
@@ -267,9 +318,10 @@
         """Send the quietest away where there is no room for one more; tells whether there is room now."""
         scopes = [scope for scope in self._waiting.values() if not scope.cancel_called]
         part = self._part * 2 if self.budget.elsewhere() else self._part  # two versions share the part too
-        crowd = len(scopes) - max(1, self.budget.limit // part) + 1
-        going = max(crowd, int(self.budget.full))
-        for scope in scopes[: max(0, going)]:
+        crowd = len(scopes) + self.budget.lingering - max(1, self.budget.limit // part) + 1
+        going = max(0, crowd, int(self.budget.full))
+        going -= self.budget.spare(going)
+        for scope in scopes[:going]:
             scope.cancel()
         # Those sent away are gone in a moment: until then the reserve holds their successors.
         return not self.budget.full or going <= len(scopes)
--- a/puffinford/interface.py
+++ b/puffinford/interface.py
@@ -398,11 +398,16 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """Send the request to a server; `timeout` 0 means until the client gives up."""
+    """Send the request to a server; `timeout` 0 means until the client gives up.
+
+    It may begin before `until` (ms on the module's clock) and no later, connecting included: after that a
+    repeat could run a second time.
+    """
 
     id: str
     server: str
     timeout: float = 0.0
+    until: float = float("inf")
 
 
 @dataclass(slots=True)
--- a/puffinford/known.py
+++ b/puffinford/known.py
@@ -15,9 +15,12 @@
 
 CARRIED = 100.0  # mean connections that a warm server is taken to carry until anything tells
 QUOTA_PART = 0.5  # of what the servers can carry is granted to tenants as quotas, about
+ASK_MOST = 3_000.0  # between failed calls: discovery may be back, and 6 s later its news counts as told
 RESTART_LEAST = 50.0  # starts of a server this close are the same one
 ROOM_FOR = 30_000.0  # what late messages have told of a server's room is forgotten after this
 
+_STRICTNESS = {it.Effect.SAFE: 0, it.Effect.KEYED: 1, it.Effect.UNSAFE: 2}
+
 
 class Backend:
     """What this balancer knows of one server."""
@@ -130,9 +133,25 @@
             return backend.zone == self.risk.zone
         return self.cls.scope is it.Scope.ALL or backend.cell == self.risk.cell
 
-    def may_be_refused(self) -> bool:
-        """A refusal says that trying again is harmless."""
-        if self.risk is None or self.cls.effect is it.Effect.SAFE:
+    def bind(self, cls: it.RequestClass) -> None:
+        """Other settings name its class: what they forbid binds at once, what they allow does not.
+
+        Guards an effect against happening twice by a reload between an attempt and its repeat.
+        """
+        if _STRICTNESS[cls.effect] > _STRICTNESS[self.cls.effect] or (
+            cls.effect is self.cls.effect is it.Effect.KEYED and cls.window < self.cls.window
+        ):
+            self.cls = cls
+
+    def repeat_until(self) -> float:
+        """From when, in ms, what may have run may not be sent again; infinite where it may be always."""
+        if self.risk is None or self.cls.effect is not it.Effect.KEYED:
+            return float("inf")
+        return self.risk_at + self.cls.window
+
+    def may_be_refused(self, out: bool = False) -> bool:
+        """A refusal says that trying again is harmless; `out`: an attempt is, and may run yet."""
+        if (self.risk is None and not out) or self.cls.effect is it.Effect.SAFE:
             return True
         return self.cls.effect is it.Effect.KEYED and self.cls.scope is it.Scope.ALL
 
@@ -226,9 +245,11 @@
         if self._subscribed or self._asking or not self._settings.list_on_request:
             return
         most = self._settings.ask_within
-        window = min(most * 0.9, most / 8 * 2.0 ** min(self._failures, 10))
+        window = min(most * 0.9, most / 8 * 2.0 ** min(self._failures, 10), ASK_MOST)
+        # Where the longest pause is the bound, short ones bring nothing but more calls.
+        least = window / 2.0 if window == ASK_MOST else 0.0
         self._asking = True
-        self._timers.at(self._now + self._rng.random() * window, self._ask)
+        self._timers.at(self._now + least + self._rng.random() * (window - least), self._ask)
 
     def _ask(self) -> None:
         self._act(it.Subscribe(True))
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -45,7 +45,7 @@
         RequestClass("payment", 2_000.0, effect=Effect.UNSAFE),
     ]
     base: dict[str, object] = {"max_retry_after": 1_500.0, "max_attempts": 4, "may_cancel": True}
-    return Settings(classes, **(base | more))  # type: ignore[arg-type]
+    return Settings(**({"classes": classes} | base | more))  # type: ignore[arg-type]
 
 
 class Peer:
@@ -153,6 +153,7 @@
     door: Door
     source: NoSource
     port: int = 0
+    over: bool = False  # the story has been told, and its clients are sent away
 
     async def listen(self, handle: Handler) -> int:
         """Where scripted peers listen."""
@@ -161,6 +162,9 @@
         async def play(stream: anyio.abc.SocketStream) -> None:
             try:
                 await handle(stream)
+            except anyio.BrokenResourceError:
+                if not self.over:
+                    raise
             finally:
                 await anyio.aclose_forcefully(stream)
 
@@ -213,10 +217,31 @@
         for _ in range(50):
             await anyio.sleep(0)
 
+    def channel_port(self) -> int:
+        """Where a channel front listens."""
+        return self.front(ChannelSubmitters(self.exchange, self.door).handle)
+
     async def channel_client(self) -> ChannelPeer:
-        port = self.front(ChannelSubmitters(self.exchange, self.door).handle)
+        port = self.channel_port()
         return await ChannelPeer(await anyio.connect_tcp("127.0.0.1", port)).hello()
 
+    async def wind_down(self) -> None:
+        """Every client goes and every limit passes: then no request, leg or count may be left."""
+        self.over = True
+        for job in list(self.exchange._jobs.values()):
+            self.tasks.start_soon(job.submitter.abort)
+        backends = self.exchange._balancer.known.backends.values()
+        for _ in range(200):
+            await self.settle()
+            if not self.exchange._jobs and not any(b.flows for b in backends):
+                break
+            self.clock.advance(100.0)
+        left = {b.id: list(b.flows) for b in backends if b.flows}
+        assert not self.exchange._jobs and not left, (list(self.exchange._jobs), left)
+        balancer = self.exchange._balancer
+        assert not balancer._flows and not balancer._groups and balancer._proving == 0
+        assert abs(balancer._load) < 1e-6
+
     async def client(self, first: bytes | None = None) -> Peer:
         peer = Peer(await anyio.connect_tcp("127.0.0.1", self.port))
         if first is not None:
@@ -332,4 +357,6 @@
             here = Stage(tasks, clock, exchange, Door(clock, budget), source)
             here.port = here.front(LineSubmitters(exchange, here.door).handle)
             yield here
+            if not tasks.cancel_scope.cancel_called:
+                await here.wind_down()
             tasks.cancel_scope.cancel()
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -11,7 +11,7 @@
 
 from puffinford.fronts.channels import codec, mux
 from puffinford.fronts.lines.leg import LineLeg
-from puffinford.fronts.sockets import Budget, Door, connect
+from puffinford.fronts.sockets import LINGER, Budget, Door, connect
 from puffinford.logs import Seldom
 from tests.stage import ChannelPeer, Peer, answering, echo, opening, stage
 
@@ -40,7 +40,9 @@
     ids=lambda said: repr(said[:48]),
 )
 async def test_what_cannot_be_read_is_told_so_and_holds_nothing(said: bytes) -> None:
-    """The clock never moves, and the client neither ends nor stops sending."""
+    """The client neither ends nor stops sending: it has its answer though the clock never moves, and holds a
+    descriptor for one lingering close and no longer. A close at once let the reset eat the answer.
+    """
     came = 0
 
     async def server(peer: Peer) -> None:
@@ -57,9 +59,11 @@
                     await bad.stream.send(said)
 
             sending.start_soon(send)
-            assert (await bad.line())[:4] in (b"ERR ", b"RST"), "an answer or a close"
+            assert (await bad.line())[:4] == b"ERR ", "the answer, whatever is unread"
             while await bad.line() not in (b"FIN", b"RST"):
                 pass
+            here.clock.advance(LINGER)
+            await here.settle()
         assert here.door.budget.used == 0 and came == 0
 
 
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,382 @@
+"""Pairs of events that meet in one turn of the loop: both orders, forced on loopback.
+
+A gate holds an attempt between its connection and its first byte, or the other event comes so many turns
+after an answer has been written. Each story ends with nothing left: see `Stage.wind_down`.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass, field
+
+import anyio
+import pytest
+
+from puffinford.core.values import Opening
+from puffinford.fronts.channels import codec
+from puffinford.fronts.channels.opening import encode_opening
+from puffinford.fronts.channels.server import ChannelServers
+from puffinford.fronts.lines.server import LineServers
+from puffinford.fronts.lines.submitter import FIRST_LINE, PINGS_IDLE
+from puffinford.interface import Effect, RequestClass, ServerState
+from tests.stage import ChannelPeer, Peer, Stage, echo, opening, settings, stage
+
+pytestmark = pytest.mark.anyio
+PAYMENT = b"c=payment,t=a,d=2000,g=5c"
+
+
+class Raw:
+    """A client whose every act is one system call, with no turn of the loop between two of them."""
+
+    def __init__(self, port: int) -> None:
+        self.sock = socket.create_connection(("127.0.0.1", port))
+
+    def say(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def fin(self) -> None:
+        self.sock.shutdown(socket.SHUT_WR)
+
+    def rst(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+    async def all(self) -> bytes:
+        """What comes until the end; b"RST" behind it where that is a reset."""
+        self.sock.setblocking(False)
+        seen = b""
+        while True:
+            try:
+                piece = self.sock.recv(65_536)
+            except BlockingIOError:
+                await anyio.wait_readable(self.sock)
+            except ConnectionError:
+                return seen + b"RST"
+            else:
+                if not piece:
+                    return seen
+                seen += piece
+
+
+def channel_hello(job: str, number: int = 7) -> bytes:
+    """What a channel client sends to open one."""
+    figures = (("c", "price-lookup"), ("t", "a"), ("d", "2000"), ("g", "5c"))
+    extra = encode_opening(Opening.from_figures(job, "7f3a", figures), 2_000.0)
+    message = codec.ChannelOpen(codec.JOB, number, 1_000, 32_768, extra)
+    return codec.VERSION.encode() + b"\r\n" + codec.encode(message)
+
+
+@dataclass
+class Servers:
+    """Two servers and what reached them."""
+
+    connections: int = 0
+    openings: list[str] = field(default_factory=list)
+
+    async def lines(self, ident: str, peer: Peer) -> None:
+        self.connections += 1
+        if (await peer.line()).startswith(b"OPEN"):
+            self.openings.append(ident)
+            await peer.say(b"UP " + ident.encode())
+            await peer.line()
+
+    async def channels(self, ident: str, peer: Peer) -> None:
+        self.connections += 1
+        server = await ChannelPeer(peer.stream).hello()
+        with contextlib.suppress(AssertionError, anyio.BrokenResourceError):
+            await server.confirm()
+            self.openings.append(ident)
+            while await server.next() not in (b"FIN", b"RST"):
+                pass
+
+    async def list(self, here: Stage, front: str, *idents: str) -> None:
+        for ident in idents:
+
+            async def script(peer: Peer, ident: str = ident) -> None:
+                await getattr(self, front)(ident, peer)
+
+            await here.server(ident, script, front)
+
+
+class Gate:
+    """Holds each attempt once its connection is there, before the first byte."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.reached = anyio.Event()
+        self.opened = anyio.Event()
+
+        def held(whole: Callable[..., Awaitable[object]]) -> Callable[..., Awaitable[object]]:
+            async def wait(*given: object) -> object:
+                made = await whole(*given)
+                self.reached.set()
+                await self.opened.wait()
+                return made
+
+            return wait
+
+        monkeypatch.setattr(LineServers, "_connect", held(LineServers._connect))
+        monkeypatch.setattr(ChannelServers, "_mux", held(ChannelServers._mux))
+
+
+async def turns(count: int) -> None:
+    for _ in range(count):
+        await anyio.sleep(0)
+
+
+def leave(client: Raw, front: str, how: str) -> None:
+    if how == "cancel" and front == "channels":
+        client.say(codec.encode(codec.GlobalRequest(codec.CANCEL, False, codec.uint32(7))))
+    elif how == "rst":
+        client.rst()
+    else:
+        client.fin()
+
+
+LEAVING = [
+    ("lines", "fin"),
+    ("lines", "rst"),
+    ("channels", "cancel"),
+    ("channels", "fin"),
+    ("channels", "rst"),
+]
+
+
+@pytest.mark.parametrize("server", ["lines", "channels"])
+@pytest.mark.parametrize(("front", "how"), LEAVING)
+async def test_no_attempt_begins_for_a_client_that_has_gone(
+    front: str, how: str, server: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its end lies unread when the attempt's connection is there: the opening went out all the same."""
+    gate, servers = Gate(monkeypatch), Servers()
+    async with stage() as here:
+        await servers.list(here, server, "s-1", "s-2")
+        client = Raw(here.port if front == "lines" else here.channel_port())
+        client.say(opening() + b"\r\n" if front == "lines" else channel_hello("0a"))
+        await gate.reached.wait()
+        gate.opened.set()
+        leave(client, front, how)
+        await here.settle()
+        assert servers.openings == []
+
+
+@pytest.mark.parametrize("how", ["fin", "rst"])
+async def test_a_client_that_left_the_accept_queue_costs_no_server_a_connection(how: str) -> None:
+    """The process stood still while it came, asked and went."""
+    servers = Servers()
+    async with stage() as here:
+        await servers.list(here, "lines", "s-1", "s-2")
+        client = Raw(here.port)
+        client.say(opening() + b"\r\n")
+        leave(client, "lines", how)
+        await here.settle()
+        assert servers.connections == 0
+
+
+@pytest.mark.parametrize("server", ["lines", "channels"])
+@pytest.mark.parametrize("news", ["draining", "gone", "cordoned"])
+async def test_what_is_told_while_an_attempt_connects_holds_for_its_first_byte(
+    news: str, server: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Connections come up to 1.5 s late, and the drain grace may be 0.5 s."""
+    gate, servers = Gate(monkeypatch), Servers()
+    async with stage() as here:
+        await servers.list(here, server, "s-1")
+        client = Raw(here.port)
+        client.say(opening() + b"\r\n")
+        await gate.reached.wait()
+        await servers.list(here, server, "s-2")
+        if news == "cordoned":
+            here.exchange.cordon(frozenset({"s-1"}))
+        else:
+            state = ServerState.DRAINING if news == "draining" else ServerState.GONE
+            here.list_machine("s-1", 1, state)
+        gate.opened.set()
+        while not servers.openings:
+            await anyio.sleep(0)
+        assert servers.openings == ["s-2"]
+        client.rst()
+
+
+@contextlib.contextmanager
+def listening() -> Iterator[socket.socket]:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        yield listener
+
+
+def guard(here: Stage, client: Raw) -> None:
+    here.clock.advance(60_000.0)
+
+
+def drain(here: Stage, client: Raw) -> None:
+    here.tasks.start_soon(here.exchange.drain, 0.0, 0.0)
+
+
+def fin(here: Stage, client: Raw) -> None:
+    client.fin()
+
+
+def rst(here: Stage, client: Raw) -> None:
+    client.rst()
+
+
+def reload(here: Stage, client: Raw) -> None:
+    here.exchange.configure(settings(max_attempts=2))
+
+
+def early_line(here: Stage, client: Raw) -> None:
+    client.say(b"M 1\r\n")
+
+
+def relist(here: Stage, client: Raw) -> None:
+    here.list_machine("s-1", 1, ServerState.DRAINING)
+
+
+OTHERS: dict[str, Callable[[Stage, Raw], None]] = {
+    "the client's FIN": fin,
+    "the client's RST": rst,
+    "a line of the client": early_line,
+    "every time limit": guard,
+    "the drain's last moment": drain,
+    "a list that drains the server": relist,
+    "a reload": reload,
+}
+
+
+@pytest.mark.parametrize("answer", [b"UP r1\r\n", b"UP r1\r\nUP r2\r\n", b"BYE\r\n", b"BUSY\r\n", b"ERR\r\n"])
+@pytest.mark.parametrize("after", [-1, 0, 1, 2, 3, 4])
+@pytest.mark.parametrize("other", OTHERS)
+async def test_an_answer_and_another_event_make_one_final_answer(
+    other: str, after: int, answer: bytes
+) -> None:
+    """The other event comes `after` turns of the loop behind the server's answer, or before it (-1)."""
+    with listening() as listener:
+        async with stage() as here:
+            here.list_machine("s-1", listener.getsockname()[1])
+            client = Raw(here.port)
+            client.say(opening(figures=PAYMENT) + b"\r\n")
+            listener.setblocking(False)
+            await anyio.wait_readable(listener)
+            server, _ = listener.accept()
+            server.setblocking(False)
+            await anyio.wait_readable(server)
+            if after < 0:
+                OTHERS[other](here, client)
+                server.sendall(answer)
+            else:
+                server.sendall(answer)
+                await turns(after)
+                OTHERS[other](here, client)
+            await here.settle()
+            if other != "the client's RST":
+                here.tasks.start_soon(here.pass_time)
+                server.close()
+                seen = await client.all()
+                words = [line.split(b" ")[0].strip() for line in seen.removesuffix(b"RST").splitlines()]
+                final = [word for word in words if word in (b"UP", b"BUSY", b"ERR", b"BYE")]
+                given = answer.splitlines()
+                # What a server said goes on as it is; nothing that this program made may stand beside it.
+                made = [word for word in final if word in (b"BUSY", b"ERR")]
+                assert len(made) <= 1 and not (made and len(final) > 1), seen
+                assert final or seen.endswith(b"RST") or other == "the client's FIN", (seen, given)
+            server.close()
+
+
+@pytest.mark.parametrize("rested", [FIRST_LINE, PINGS_IDLE])
+async def test_a_request_that_comes_as_its_time_runs_out_is_served(rested: float) -> None:
+    """It was answered ERR for want of a line that had arrived whole."""
+    async with stage() as here:
+        await here.server("s-1", echo)
+        client = Raw(here.port)
+        if rested == PINGS_IDLE:
+            client.say(b"PING\r\n")
+            await here.settle()
+            assert client.sock.recv(100) == b"PONG\r\n"
+        await here.settle()
+        client.say(opening() + b"\r\n")
+        here.clock.advance(rested)
+        await here.settle()
+        assert client.sock.recv(100) == b"UP r1\r\n"
+        client.rst()
+
+
+@pytest.mark.parametrize("size", [200, 1_000_000])
+@pytest.mark.parametrize("answer", ["ERR", "BUSY"])
+async def test_what_lies_unread_does_not_reset_the_last_answer(size: int, answer: str) -> None:
+    """A close over unread bytes resets the connection: the client's own send failed before it could read."""
+    async with stage() as here:
+        client = Raw(here.port)
+        client.sock.setblocking(False)
+        if answer == "BUSY":
+            client.say(opening() + b"\r\n")
+            await anyio.wait_readable(client.sock)  # it is answered already
+        left = memoryview(b"x" * size)
+        while left:
+            try:
+                left = left[client.sock.send(left) :]
+            except BlockingIOError:
+                await anyio.wait_writable(client.sock)
+        seen = client.all()
+        client.fin()
+        told = await seen
+        assert told.startswith(answer.encode()) and told.endswith(b"\r\n"), "the line whole, and no reset"
+
+
+@pytest.mark.parametrize("sent", [False, True])
+@pytest.mark.parametrize("effect", [*Effect])
+async def test_a_drain_refuses_only_what_may_be_tried_again(
+    effect: Effect, sent: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """At the drain's end all that did not stand was told BUSY, which says that it never ran."""
+    gate = Gate(monkeypatch)
+    asked = anyio.Event()
+
+    async def silent(peer: Peer) -> None:
+        await peer.line()
+        asked.set()
+        await peer.line()
+
+    async with stage(
+        settings(classes=[RequestClass("payment", 2_000.0, effect=effect, window=800.0)])
+    ) as here:
+        await here.server("s-1", silent)
+        client = Raw(here.port)
+        client.say(opening(figures=PAYMENT) + b"\r\n")
+        await gate.reached.wait()
+        if sent:
+            gate.opened.set()
+            await asked.wait()
+        here.tasks.start_soon(here.exchange.drain, 0.0, 0.0)
+        await here.settle()
+        answer = client.sock.recv(100)
+        assert answer.startswith(b"ERR" if sent and effect is Effect.UNSAFE else b"BUSY")
+
+
+async def test_a_repeat_does_not_begin_after_its_window(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The servers discard repeats for so long after the first attempt; a connection may come up later."""
+    gate = Gate(monkeypatch)
+    openings = 0
+
+    async def resets(peer: Peer) -> None:
+        nonlocal openings
+        if (await peer.line()).startswith(b"OPEN"):
+            openings += 1
+            gate.reached, gate.opened = anyio.Event(), anyio.Event()  # the repeat is held
+            await peer.rst()
+
+    cls = RequestClass("payment", 2_000.0, effect=Effect.KEYED, window=800.0)
+    async with stage(settings(classes=[cls])) as here:
+        for ident in ("s-1", "s-2"):
+            await here.server(ident, resets)
+        gate.opened.set()
+        client = Raw(here.port)
+        client.say(opening(figures=PAYMENT) + b"\r\n")
+        while not openings:
+            await anyio.sleep(0)
+        await gate.reached.wait()
+        here.clock.advance(801.0)
+        gate.opened.set()
+        assert (await client.all()).startswith(b"BUSY ")
+        assert openings == 1
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -11,6 +11,7 @@
 
 import anyio
 import anyio.abc
+import anyio.lowlevel
 import pytest
 
 from puffinford.core.clock import SettableClock
@@ -20,7 +21,7 @@
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.sockets import Budget
 from puffinford.interface import Result, Server
-from puffinford.machines.discovery import DiscoveryWatch
+from puffinford.machines.discovery import WAIT, DiscoveryWatch
 from tests.stage import Peer, Script, answering, echo, opening, settings, stage
 
 pytestmark = pytest.mark.anyio
@@ -97,7 +98,7 @@
         written: list[bool] = []
         with pytest.raises(ClaimEnded) as ended:
             await LineServers(here.clock, Budget(), 500.0).claim(
-                machine, first, 900.0, lambda: written.append(True)
+                machine, first, 900.0, anyio.lowlevel.checkpoint, lambda: written.append(True)
             )
         assert ended.value.result is result
         assert written == [True] * (result is not Result.CONNECT_FAILED), "told once, when all of it was out"
@@ -348,7 +349,7 @@
         assert asked[0] == b"GET /v1/servers?index=0&wait=0 HTTP/1.1\r\n"
         if taken:
             await again.wait()
-            assert asked[1].endswith(b"&wait=5000 HTTP/1.1\r\n")
+            assert asked[1].endswith(b"&wait=%d HTTP/1.1\r\n" % WAIT)
         first = lists[0]
         assert (first and [m.server.id for m in first.machines]) == taken
 
