Refuse another deployment's store, and keep to the descriptors that the system gives

Cause: a store under the same balancer name and place was the start list of whoever came next; a crowd of idle clients filled descriptors that the configuration told and the system did not give, so the second address and discovery's calls waited for the crowd's time to run out. Change: the store tells its deployment's classes; one with none in common is refused with a log line and struck out. The budget is the lesser of what is told and RLIMIT_NOFILE, raised where it may be; a refused descriptor sends the quietest away. Ruled out: module globals (hypothesis, two instances); cordons (ids of other servers take nobody out).

--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -12,6 +12,7 @@
 import ipaddress
 import logging
 import os
+import resource
 import socket
 import struct
 from collections import deque
@@ -46,6 +47,7 @@
 RESERVE = 32  # descriptors for discovery, the listeners, the program's own files and a turn of accepting
 MGMT_MOST = 16  # descriptors that callers of the second address may hold; no client ever gets them
 MGMT_TURN = 4  # of its callers accepted at a time, and held beyond those while the quietest go
+SHORT_OF = 4  # descriptors that a client and its server need at once, with room for a call beside them
 OWN_LACK = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 
 
@@ -53,6 +55,20 @@
     """This machine, not the other, lacks what a connection needs."""
 
 
+def allowed(told: int) -> int:
+    """How many descriptors this process may hold: as told, or fewer where the system gives fewer.
+
+    Guards all that is kept for other things than clients against a limit that no budget knows of.
+    """
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if resource.RLIM_INFINITY != soft < told:
+        wanted = told if hard == resource.RLIM_INFINITY else min(told, hard)
+        with contextlib.suppress(OSError, ValueError):
+            resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+            soft = wanted
+    return told if soft == resource.RLIM_INFINITY else min(told, soft)
+
+
 class Budget:
     """A count of the sockets that are open, against a limit of which a part is kept for other things."""
 
@@ -314,12 +330,15 @@
             finally:
                 del self._waiting[token]
 
-    def make_room(self) -> bool:
-        """Send the quietest away where there is no room for one more; tells whether there is room now."""
+    def make_room(self, short: bool = False) -> bool:
+        """Send the quietest away where there is no room for one more; tells whether there is room now.
+
+        `short`: the system has refused a descriptor, whatever the budget says of them.
+        """
         scopes = [scope for scope in self._waiting.values() if not scope.cancel_called]
         part = self._part * 2 if self.budget.elsewhere() else self._part  # two versions share the part too
         crowd = len(scopes) + self.budget.lingering - max(1, self.budget.limit // part) + 1
-        going = max(0, crowd, int(self.budget.full))
+        going = max(0, crowd, int(self.budget.full), SHORT_OF if short else 0)
         going -= self.budget.spare(going)
         for scope in scopes[:going]:
             scope.cancel()
@@ -401,7 +420,7 @@
                     # Guards against running out of descriptors, and against a peer that is gone before
                     # its connection is taken up: a later accept may do.
                     log.warning("accept failed", extra={"error": str(exc)})
-                    door.make_room()
+                    door.make_room(short=exc.errno in OWN_LACK)
                     await door.clock.sleep(ACCEPT_RETRY)
         if not shared:
             # Guards the clients that came in the last moment: a close would reset them.
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -30,6 +30,7 @@
     Door,
     Handler,
     accept_all,
+    allowed,
     bind,
     inherited,
     local_address,
@@ -77,7 +78,7 @@
         self._home = config.listen
         self._clock = clock
         self._load = load
-        self._budget = Budget(config.limits.sockets, RESERVE + MGMT_MOST + MGMT_TURN)
+        self._budget = Budget(allowed(config.limits.sockets), RESERVE + MGMT_MOST + MGMT_TURN)
         door = Door(clock, self._budget)
         connect_timeout = config.settings.connect_timeout
         self._line_servers = LineServers(clock, self._budget, connect_timeout)
@@ -101,6 +102,7 @@
             exchange.learn,
             self._rebalancer.kept,
             self._rebalancer.go_on,
+            frozenset(cls.name for cls in config.settings.classes),
         )
         start = self._keeper.start(config.known)
         self._restored = start.restored
@@ -318,7 +320,7 @@
             self._rebalancer.planner.configure(figures(config.operators.rebalance))
             if config.operators.rebalance.enabled:
                 self._start_rebalancing()
-        self._budget.limit = config.limits.sockets
+        self._budget.limit = allowed(config.limits.sockets)
         self._exchange.configure(config.settings)
         self._line_servers.connect_timeout = config.settings.connect_timeout
         self._channel_servers.connect_timeout = config.settings.connect_timeout
--- a/puffinford/state/keeper.py
+++ b/puffinford/state/keeper.py
@@ -22,8 +22,10 @@
 from puffinford.state import recovery, trust
 from puffinford.state.records import (
     LIST_KEY,
+    OWNER_KEY,
     PACE_KEY,
     ListRecord,
+    OwnerRecord,
     PaceRecord,
     ServerRecord,
     Stored,
@@ -72,8 +74,14 @@
         learn: Callable[[list[Health]], None],
         pace: Callable[[], PaceRecord | None] = lambda: None,
         go_on: Callable[[PaceRecord], None] = lambda _: None,
+        classes: frozenset[str] = frozenset(),
     ) -> None:
-        """`pace` tells how far rebalancing has come, `go_on` hands it what another process had come to."""
+        """`pace` tells how far rebalancing has come, `go_on` hands it what another process had come to.
+
+        `classes` are those of the deployment: a store of one that shares none is not used.
+        """
+        self._classes = classes
+        self._foreign = False  # the store is another deployment's
         self._settings = settings
         self._clock = clock
         self._learned = learned
@@ -123,12 +131,17 @@
                 stored = self._store.read()
             except StoreFailed as exc:
                 log.error("state unusable", extra={"file": str(self._store.path), "error": str(exc)})
+        if stored is not None and stored.foreign(self._classes):
+            self._refuse(stored)
+            stored = None
         if stored is not None:
             for text in stored.rotten[:10]:
                 log.warning("state record rejected", extra={"error": text})
             self._take_in(stored)
             if stored.pace is not None:
                 self._go_on(stored.pace)
+        if self._store is not None and (stored is None or stored.owner is None):
+            self._own()
         told = self._settings
         begun = recovery.merge(stored, known, self._clock.now(), self._offset, weights(told), told.known_age)
         restored = begun.restored
@@ -148,6 +161,25 @@
         )
         return begun
 
+    def _own(self) -> None:
+        """Say in the store whose it is."""
+        owner = OwnerRecord(sorted(self._classes))
+        self._due[OWNER_KEY] = encode(OWNER_KEY, owner, self._clock.now() + self._offset)
+
+    def _refuse(self, stored: Stored) -> None:
+        """Guards a start against the servers of another deployment under the same name and place.
+
+        What that left is struck out as soon as this process writes.
+        """
+        assert stored.owner is not None
+        log.warning(
+            "state of another deployment",
+            extra={"classes": ",".join(stored.owner.classes)[:300], "entries": len(stored.servers)},
+        )
+        self._foreign = True
+        keys = [LIST_KEY, PACE_KEY, *map(server_key, stored.servers), *map(health_key, stored.health)]
+        self._due.update(dict.fromkeys(keys))
+
     def _take_in(self, stored: Stored) -> None:
         """What is in the store already needs no writing."""
         if stored.entries >= 0:
@@ -189,7 +221,7 @@
 
     def take_over(self) -> None:
         """Learn what the process that writes, the old version, has learned by now."""
-        if self._store is None or self._store.writes:
+        if self._store is None or self._store.writes or self._foreign:
             return
         try:
             stored = self._store.read_health()
@@ -350,6 +382,11 @@
         except StoreFailed as exc:
             self._tell_once(exc)
             return False
+        if stored.foreign(self._classes):
+            self._refuse(stored)
+            self._own()
+            stored = Stored()
+        self._foreign = False  # from now on what it holds is ours
         now = self._clock.now() + self._offset
         if stored.pace is not None:
             self._go_on(stored.pace)
--- a/puffinford/state/records.py
+++ b/puffinford/state/records.py
@@ -17,6 +17,7 @@
 SCHEMA = 1
 LIST_KEY = b"list"
 PACE_KEY = b"pace"
+OWNER_KEY = b"owner"
 SERVER_PREFIX = b"s/"
 HEALTH_PREFIX = b"h/"
 KEY_MOST = 500  # bytes; LMDB takes 511
@@ -88,12 +89,19 @@
     rests: list[tuple[int, Time, tuple[Text, ...], Text]]
 
 
-Record = ListRecord | ServerRecord | HealthRecord | PaceRecord
-R = TypeVar("R", ListRecord, ServerRecord, HealthRecord, PaceRecord)
+class OwnerRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Whose list it is: the classes of the deployment that wrote it."""
+
+    classes: list[Text]
+
+
+Record = ListRecord | ServerRecord | HealthRecord | PaceRecord | OwnerRecord
+R = TypeVar("R", ListRecord, ServerRecord, HealthRecord, PaceRecord, OwnerRecord)
 
 _encode = msgspec.msgpack.Encoder().encode
 _decoders: dict[type[Any], Any] = {
-    kind: msgspec.msgpack.Decoder(kind) for kind in (ListRecord, ServerRecord, HealthRecord, PaceRecord)
+    kind: msgspec.msgpack.Decoder(kind)
+    for kind in (ListRecord, ServerRecord, HealthRecord, PaceRecord, OwnerRecord)
 }
 
 
@@ -107,9 +115,14 @@
     servers: dict[str, tuple[ServerRecord, float]] = field(default_factory=dict)
     health: dict[str, tuple[HealthRecord, float]] = field(default_factory=dict)
     pace: PaceRecord | None = None
+    owner: OwnerRecord | None = None  # None also in a store that an earlier release wrote
     rotten: list[str] = field(default_factory=list)  # KEY: what is wrong
     newer: int = 0  # the highest schema above ours that was met
 
+    def foreign(self, classes: frozenset[str]) -> bool:
+        """Whether a deployment wrote it that has no class in common with these."""
+        return self.owner is not None and bool(classes) and classes.isdisjoint(self.owner.classes)
+
     @property
     def listed(self) -> int:
         """How many servers the list names; those that left are kept beside it."""
@@ -174,6 +187,8 @@
             stored.entries = whole.entries
         elif key == PACE_KEY:
             stored.pace, _ = decode(key, value, PaceRecord)
+        elif key == OWNER_KEY:
+            stored.owner, _ = decode(key, value, OwnerRecord)
         elif key.startswith(SERVER_PREFIX):
             server, confirmed = decode(key, value, ServerRecord)
             stored.servers[server.id] = (server, confirmed)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -319,12 +319,15 @@
 
     def __init__(self, process: anyio.abc.Process) -> None:
         self.process = process
+        self.heard = b""  # all of its log that was read
         self._log = b""
 
     async def logged(self, pattern: bytes) -> re.Match[bytes]:
         """Wait for a line of the log; what stands before it is not looked at again."""
         while (found := re.search(pattern + rb".*\n", self._log)) is None:
-            self._log += await cast(anyio.abc.ByteReceiveStream, self.process.stderr).receive()
+            piece = await cast(anyio.abc.ByteReceiveStream, self.process.stderr).receive()
+            self.heard += piece
+            self._log += piece
         self._log = self._log[found.end() :]
         return found
 
@@ -334,7 +337,10 @@
 
 @asynccontextmanager
 async def program(config: Path, *words: str, fds: Sequence[int] = (), **env: str) -> AsyncIterator[Program]:
+    """Started, with so many descriptors where DESCRIPTORS tells it; the story ends it."""
     command = [sys.executable, "-m", "puffinford", *words]
+    if limit := env.pop("DESCRIPTORS", ""):
+        command = ["/bin/sh", "-c", f'ulimit -n {limit}; exec "$@"', "sh", *command]
     told = {"PATH": os.environ["PATH"], "EDGE_CONFIG": str(config), **env}
     async with await anyio.open_process(command, env=told, stderr=subprocess.PIPE, pass_fds=fds) as process:
         yield Program(process)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import subprocess
 import sys
@@ -310,6 +311,39 @@
     again._store.close()
 
 
+def test_a_store_of_another_deployment_is_refused_and_made_over(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Under the same name and place its servers were the start list of whoever came next."""
+    path = tmp_path / "state"
+
+    def of(*classes: str) -> Keeper:
+        learn: list[Health] = []
+        told, clock = StateSettings(), SettableClock()
+        return Keeper(told, (path, False), clock, list, learn.extend, classes=frozenset(classes))
+
+    first = of("tills", "prices")
+    first.start(listed("s-1", "s-2", version=9))
+    first._commit_now()
+    assert first._store is not None
+    first._store.close()
+    with caplog.at_level(logging.WARNING, "puffinford.state.keeper"):
+        other = of("parcels")
+        begun = other.start(listed("s-7", version=1))
+    assert [m.server.id for m in begun.restored.machines.machines] == ["s-7"] and begun.version == 1
+    assert [r.getMessage() for r in caplog.records] == ["state of another deployment"]
+    other._commit_now()
+    assert other._store is not None
+    stored = other._store.read()
+    assert set(stored.servers) == {"s-7"} and stored.owner is not None and stored.whole
+    assert stored.owner.classes == ["parcels"]
+    other._store.close()
+    grown = of("parcels", "letters")  # a class more is the same deployment
+    assert grown.start(None).source == "store"
+    assert grown._store is not None
+    grown._store.close()
+
+
 def test_how_far_rebalancing_had_come_is_handed_on(tmp_path: Path) -> None:
     path = tmp_path / "state"
     heard: list[records.PaceRecord] = []
