Prove with four frozen processes that clients who left meanwhile are not sent on

Real processes, SIGSTOP and SIGCONT; clients that ask and close, reset or stay while each stands still. Only those that stayed reach the server.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,12 +7,16 @@
 from __future__ import annotations
 
 import contextlib
+import json
+import signal
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import anyio
+import anyio.abc
 import pytest
 
 from puffinford.core.values import Opening
@@ -22,7 +26,7 @@
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.lines.submitter import FIRST_LINE, PINGS_IDLE
 from puffinford.interface import Effect, RequestClass, ServerState
-from tests.stage import ChannelPeer, Peer, Stage, echo, opening, settings, stage
+from tests.stage import ChannelPeer, Peer, Stage, discovery, echo, opening, program, settings, stage
 
 pytestmark = pytest.mark.anyio
 PAYMENT = b"c=payment,t=a,d=2000,g=5c"
@@ -380,3 +384,46 @@
         gate.opened.set()
         assert (await client.all()).startswith(b"BUSY ")
         assert openings == 1
+
+
+async def test_frozen_processes_send_nothing_on_for_clients_that_left_meanwhile(tmp_path: Path) -> None:
+    """Four real processes are stopped; clients come to each, ask, and close or stay; all go on at once."""
+    seen: list[bytes] = []
+
+    async def server(stream: anyio.abc.SocketStream) -> None:
+        peer = Peer(stream)
+        seen.append((await peer.line()).split(b" ")[1])
+        await peer.say(b"UP r1")
+        await peer.line()
+
+    classes = [{"name": "price-lookup", "give_up": 2_000.0, "repeat": "idempotent"}]
+    async with stage() as here, contextlib.AsyncExitStack() as running:
+        address = f"127.0.0.1:{await here.listen(server)}"
+        service = await here.listen(discovery([], {"id": "s-1", "addr": address}))
+        told = {
+            "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{service}",
+            "settings": {"classes": classes},
+        }
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(told))
+        balancers = [await running.enter_async_context(program(config)) for _ in range(4)]
+        ports = [await balancer.port(b"lines") for balancer in balancers]
+        for balancer in balancers:
+            await balancer.logged(b"server=s-1 .*list=replace")
+            balancer.process.send_signal(signal.SIGSTOP)
+        stay: list[Raw] = []
+        for number, port in enumerate(ports):
+            for n, how in enumerate(("fin", "rst", "stay")):
+                client = Raw(port)
+                client.say(opening(f"{number}{n}") + b"\r\n")
+                stay.append(client) if how == "stay" else leave(client, "lines", how)
+        for balancer in balancers:
+            balancer.process.send_signal(signal.SIGCONT)
+        for client in stay:
+            client.sock.setblocking(False)
+            await anyio.wait_readable(client.sock)
+            assert client.sock.recv(100) == b"UP r1\r\n"
+        assert sorted(seen) == [b"%d2" % number for number in range(4)]
+        for balancer in balancers:
+            balancer.process.kill()
