--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import logging
 import socket
@@ -104,6 +105,50 @@
         assert not any(b.down for b in here.exchange._balancer._fleet.backends.values())
 
 
+async def drip(peer: Peer) -> None:
+    with contextlib.suppress(anyio.BrokenResourceError):
+        while True:
+            await peer.stream.send(b"U")
+            await anyio.sleep(0.002)
+
+
+@pytest.mark.parametrize(
+    ("said", "answer"),
+    [
+        (b"UP", b"BUSY"),  # half a line, and rests
+        (None, b"BUSY"),  # a byte now and then, for ever
+        (b"x" * 65_536, b"BUSY"),  # no end
+        (b"M 1\r\nUP r1\r\n", b"BUSY"),  # data before UP
+        (b"UP r1\r\nUP r2\r\n", b"UP r1"),  # goes on as it came: the second is a line of the connection
+    ],
+    ids=["half a line", "dripping", "no end", "data before UP", "UP twice"],
+)
+async def test_a_server_that_answers_amiss_costs_its_client_no_more_than_its_time(
+    said: bytes | None, answer: bytes
+) -> None:
+    async def script(peer: Peer) -> None:
+        await peer.line()
+        if said is None:
+            return await drip(peer)
+        with contextlib.suppress(anyio.BrokenResourceError):
+            await peer.stream.send(said)
+            await peer.line()
+
+    async with stage() as here:
+        for ident in ("s-1", "s-2"):
+            await here.server(ident, script)
+        start = here.clock.now()
+        client = await here.client(GOOD)
+        here.tasks.start_soon(here.pass_time)
+        assert (await client.line()).startswith(answer)
+        assert here.clock.now() - start <= 2_000.0 + 200.0, "its deadline, and a step of the clock"
+        if answer == b"BUSY":
+            assert await client.line() == b"FIN"
+            await client.fin()
+            await here.settle()
+            assert here.door.budget.used <= 1
+
+
 @pytest.mark.parametrize("front", ["lines", "channels"])
 async def test_silent_connections_give_way_to_those_that_ask(front: str) -> None:
     """Hundreds that said nothing held every descriptor, and nobody was served from then on."""
