Tell newcomers who find no place BUSY, eight at a time, where they were reset

Cause: with every descriptor taken a newcomer was closed at once over its unread request: a reset without a word. Change: eight at a time are heard for 0.3 s out of the reserve and answered BUSY; the others are closed as before. Test: newcomers_are_turned_away in test_bounds.py, in place of one that was content with the reset.

--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -409,14 +409,18 @@
 
     # Jobs
 
-    async def serve(self, opening: Opening, submitter: SubmitterLeg) -> None:
-        """Serve one job to its end. Exactly one final answer goes to the submitter."""
+    async def serve(self, opening: Opening, submitter: SubmitterLeg, room: bool = True) -> None:
+        """Serve one job to its end. Exactly one final answer goes to the submitter.
+
+        Without `room` for its connections that is a refusal at once.
+        """
         if opening.cls not in self._classes:
             return await self._refuse(submitter, Failed("unknown class"), opening)
         if opening.job in self._jobs:
             return await self._refuse(submitter, Failed("id in use"), opening)
-        if self._leaving:
-            return await self._refuse(submitter, Busy(self._settings.max_retry_after, "leaving"), opening)
+        if self._leaving or not room:
+            why = "leaving" if self._leaving else "no room"
+            return await self._refuse(submitter, Busy(self._settings.max_retry_after, why), opening)
         job = self._jobs[opening.job] = Job(opening, submitter, self._clock.now() + opening.wait)
         try:
             async with anyio.create_task_group() as tasks:
--- a/puffinford/fronts/lines/submitter.py
+++ b/puffinford/fronts/lines/submitter.py
@@ -9,7 +9,7 @@
 from puffinford.core.values import BadOpening, Broken, Ended, Failed
 from puffinford.fronts.lines import codec
 from puffinford.fronts.lines.leg import LineLeg
-from puffinford.fronts.sockets import Door, Wire
+from puffinford.fronts.sockets import TURNED_FOR, Door, Wire
 from puffinford.logs import Seldom
 
 seldom = Seldom(logging.getLogger(__name__))
@@ -55,3 +55,14 @@
                 await leg.end()
         except (Ended, Broken):
             pass
+
+    async def turn_away(self, wire: Wire) -> None:
+        """Answer one that finds no place, if its line comes at once; a close would tell it nothing."""
+        leg = LineLeg(wire)
+        line = b""
+        with contextlib.suppress(BadOpening, Ended, Broken):
+            with wire.clock.limit(TURNED_FOR):
+                line = await leg.read_line()
+            first = codec.decode_first(line)
+            if not isinstance(first, codec.Ping):
+                await self._exchange.serve(first, leg, room=False)
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -38,6 +38,8 @@
 LINGER_READ = 65_536  # at a time
 LINGER_PART = 16  # such connections may hold this part of the descriptors, one of sixteen ...
 LINGER_LEAST = 8  # ... or so many; and they give way to newcomers first
+TURNED_AWAY = 8  # newcomers without a place that are heard and answered at once, out of the reserve ...
+TURNED_FOR = 300.0  # ... and how long their line may take
 LAST_MOST = 500.0  # for a peer to take the last piece of a connection
 CATCH_UP = 4  # turns of the loop in which what has arrived is read, before a peer counts as still there
 ACCEPT_RETRY = 50.0  # after a failed accept, as when descriptors have run out
@@ -382,14 +384,17 @@
     scope: anyio.CancelScope,
     turn: int = ACCEPT_TURN,
     shared: bool = False,
+    turn_away: Handler | None = None,
 ) -> None:
     """Accept until `scope` is cancelled, then listen no more; what was accepted goes on in `tasks`.
 
     Each connection has a task of its own, whose faults stay its own. What waits to be accepted at the end
-    is taken too, unless the socket is `shared` with a process that goes on accepting.
+    is taken too, unless the socket is `shared` with a process that goes on accepting. A few newcomers that
+    find no place are answered by `turn_away`, the others closed.
     """
+    turned = 0
 
-    async def guarded(wire: Wire) -> None:
+    async def guarded(wire: Wire, handle: Handler = handle) -> None:
         try:
             await handle(wire)
         except Exception:
@@ -397,7 +402,18 @@
         finally:
             wire.close()
 
+    async def answered(wire: Wire) -> None:
+        nonlocal turned
+        assert turn_away is not None
+        try:
+            with door.clock.limit(TURNED_FOR + LAST_MOST):
+                await guarded(wire, turn_away)
+        finally:
+            turned -= 1
+            wire.close()
+
     def take(most: int) -> None:
+        nonlocal turned
         for _ in range(most):
             try:
                 sock, _peer = listener.accept()
@@ -408,7 +424,11 @@
                 tasks.start_soon(guarded, wire)
             else:
                 seldom.warning("no room", open=door.budget.used, limit=door.budget.limit)
-                wire.close()
+                if turn_away is not None and turned < TURNED_AWAY:
+                    turned += 1
+                    tasks.start_soon(answered, wire)
+                else:
+                    wire.close()
 
     try:
         with scope:
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -65,6 +65,7 @@
     handle: Handler
     door: Door
     turn: int = ACCEPT_TURN
+    turn_away: Handler | None = None  # answers those who find no place
     address: tuple[str, int] | None = None
     scope: anyio.CancelScope | None = None  # ends the listening; what was accepted stays
     accepting: bool = False
@@ -118,7 +119,8 @@
             self._source = DiscoveryWatch(
                 config.discovery, start.version, clock, self._take_list, unprompted, rng
             )
-        self._lines = Front("lines", LineSubmitters(self._exchange, door).handle, door)
+        clients = LineSubmitters(self._exchange, door)
+        self._lines = Front("lines", clients.handle, door, turn_away=clients.turn_away)
         self._channels = Front("channels", ChannelSubmitters(self._exchange, door).handle, door)
         # Guards operators against crowds of clients: callers have descriptors of their own.
         callers = Door(clock, Budget(MGMT_MOST + 1, 0), part=1)
@@ -238,7 +240,9 @@
             while self._versions.succeeding and not (self._exchange.informed or scope.cancel_called):
                 await self._clock.sleep(LOOK)
         front.accepting = True
-        await accept_all(listener, front.handle, front.door, self._tasks, scope, front.turn, shared)
+        await accept_all(
+            listener, front.handle, front.door, self._tasks, scope, front.turn, shared, front.turn_away
+        )
 
     # Listening
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -29,7 +29,7 @@
 from puffinford.fronts.channels.submitter import ChannelSubmitters
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.lines.submitter import LineSubmitters
-from puffinford.fronts.sockets import MGMT_MOST, Budget, Door, Wire, accept_all, bind
+from puffinford.fronts.sockets import ACCEPT_TURN, MGMT_MOST, Budget, Door, Wire, accept_all, bind
 from puffinford.interface import Effect, RequestClass, Server, ServerState, Settings
 from puffinford.management.calls import Calls, Extra
 from puffinford.management.cordons import Cordons
@@ -171,12 +171,16 @@
         self.tasks.start_soon(listener.serve, play)
         return int(listener.extra(SocketAttribute.local_port))
 
-    def front(self, handle: Callable[[Wire], Awaitable[None]], door: Door | None = None) -> int:
+    def front(
+        self,
+        handle: Callable[[Wire], Awaitable[None]],
+        door: Door | None = None,
+        turn_away: Callable[[Wire], Awaitable[None]] | None = None,
+    ) -> int:
         """Where a front listens."""
         listener = bind(("127.0.0.1", 0))
-        self.tasks.start_soon(
-            accept_all, listener, handle, door or self.door, self.tasks, anyio.CancelScope()
-        )
+        given = (listener, handle, door or self.door, self.tasks, anyio.CancelScope(), ACCEPT_TURN, False)
+        self.tasks.start_soon(accept_all, *given, turn_away)
         return int(listener.getsockname()[1])
 
     def management(
@@ -361,7 +365,8 @@
             tasks.start_soon(exchange.run, source)
             await anyio.wait_all_tasks_blocked()
             here = Stage(tasks, clock, exchange, Door(clock, budget), source)
-            here.port = here.front(LineSubmitters(exchange, here.door).handle)
+            clients = LineSubmitters(exchange, here.door)
+            here.port = here.front(clients.handle, turn_away=clients.turn_away)
             yield here
             if not tasks.cancel_scope.cancel_called:
                 await here.wind_down()
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -12,7 +12,7 @@
 
 from puffinford.fronts.channels import codec, mux
 from puffinford.fronts.lines.leg import LineLeg
-from puffinford.fronts.sockets import LINGER, Budget, Door, connect
+from puffinford.fronts.sockets import LINGER, TURNED_AWAY, TURNED_FOR, Budget, Door, connect
 from puffinford.logs import Seldom
 from tests.stage import ChannelPeer, Peer, answering, echo, opening, stage
 
@@ -217,16 +217,27 @@
     assert turns >= 200
 
 
-async def test_with_all_descriptors_in_use_a_newcomer_is_closed_and_the_others_go_on() -> None:
+async def test_with_all_descriptors_in_use_newcomers_are_turned_away_and_the_others_go_on() -> None:
+    """They were closed at once, their request unread: a reset, and no word of when to come again."""
     async with stage() as here:
         here.door.budget.limit = 32 + 7
         await here.server("s-1", echo)
         clients = [await here.client(opening(f"0{n}")) for n in range(3)]
         assert [await c.line() for c in clients] == [b"UP r1\r\n"] * 3
         late = await here.client(opening("10"))
-        assert await late.line() in (b"FIN", b"RST")
+        assert await late.line() == b"BUSY 1500\r\n"
+        assert await late.line() == b"FIN"
+        await late.fin()
+        await here.settle()
+        quiet = [await here.client() for _ in range(30)]
+        await here.settle()
+        assert here.door.budget.used <= 6 + TURNED_AWAY, "the reserve holds a few, and no more"
+        here.clock.advance(TURNED_FOR)
+        for peer in quiet:
+            assert await peer.line() in (b"FIN", b"RST")
         await clients[0].say(b"on")
         assert await clients[0].line() == b"on\r\n"
+        assert here.door.budget.used == 6
 
 
 async def test_our_own_lack_of_descriptors_is_no_fault_of_the_server(monkeypatch: pytest.MonkeyPatch) -> None:
