--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -57,7 +57,7 @@
     """This machine, not the other, lacks what a connection needs."""
 
 
-def allowed(told: int) -> int:
+def descriptors_allowed(told: int) -> int:
     """How many descriptors this process may hold: as told, or fewer where the system gives fewer.
 
     Guards all that is kept for other things than clients against a limit that no budget knows of.
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -30,8 +30,8 @@
     Door,
     Handler,
     accept_all,
-    allowed,
     bind,
+    descriptors_allowed,
     inherited,
     local_address,
 )
@@ -79,7 +79,7 @@
         self._home = config.listen
         self._clock = clock
         self._load = load
-        self._budget = Budget(allowed(config.limits.sockets), RESERVE + MGMT_MOST + MGMT_TURN)
+        self._budget = Budget(descriptors_allowed(config.limits.sockets), RESERVE + MGMT_MOST + MGMT_TURN)
         door = Door(clock, self._budget)
         connect_timeout = config.settings.connect_timeout
         self._line_servers = LineServers(clock, self._budget, connect_timeout)
@@ -324,7 +324,7 @@
             self._rebalancer.planner.configure(figures(config.operators.rebalance))
             if config.operators.rebalance.enabled:
                 self._start_rebalancing()
-        self._budget.limit = allowed(config.limits.sockets)
+        self._budget.limit = descriptors_allowed(config.limits.sockets)
         self._exchange.configure(config.settings)
         self._line_servers.connect_timeout = config.settings.connect_timeout
         self._channel_servers.connect_timeout = config.settings.connect_timeout
