--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -145,6 +145,11 @@
     full: bool
     machines: list[Machine] = field(default_factory=list)
 
+    @property
+    def size(self) -> int:
+        """The number of entries."""
+        return len(self.machines)
+
 
 @dataclass(frozen=True, slots=True)
 class Restored:
