--- a/puffinford/cli/__init__.py
+++ b/puffinford/cli/__init__.py
@@ -124,12 +124,14 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run a command; its exit code."""
     from puffinford.cli.rebalance import rebalance
+    from puffinford.cli.relay import relay
     from puffinford.cli.stage import stage
     from puffinford.cli.state import state
 
     puffinford.add_command(state)
     puffinford.add_command(rebalance)
     puffinford.add_command(stage)
+    puffinford.add_command(relay)
     try:
         puffinford.main(argv, prog_name="puffinford")
     except SystemExit as exc:
--- a/puffinford/operators/__init__.py
+++ b/puffinford/operators/__init__.py
@@ -4,8 +4,10 @@
 from puffinford.operators.loading import DEFAULT_FILE, Loaded, load_settings
 from puffinford.operators.schema import (
     ChannelSettings,
+    DiscoverySettings,
     OperatorSettings,
     RebalanceSettings,
+    RelaySettings,
     StateSettings,
 )
 
@@ -13,9 +15,11 @@
     "DEFAULT_FILE",
     "BadSettings",
     "ChannelSettings",
+    "DiscoverySettings",
     "Loaded",
     "OperatorSettings",
     "RebalanceSettings",
+    "RelaySettings",
     "StateSettings",
     "load_settings",
 ]
--- a/puffinford/operators/loading.py
+++ b/puffinford/operators/loading.py
@@ -7,8 +7,16 @@
 from pathlib import Path
 from typing import Any
 
+from puffinford.operators import units
 from puffinford.operators.lines import BadSettings, Place, Reader, Word
-from puffinford.operators.schema import SECTIONS, OperatorSettings, keywords
+from puffinford.operators.schema import (
+    LIST_AGE_MOST,
+    RELAY_LATE,
+    SECTIONS,
+    OperatorSettings,
+    RelaySettings,
+    keywords,
+)
 
 DEFAULT_FILE = Path("deploy/puffinford.conf")
 
@@ -119,3 +127,22 @@
         if getattr(held, lower.replace("-", "_")) >= getattr(held, upper.replace("-", "_")):
             place = checker.origins.get((section, upper)) or checker.origins[section, lower]
             checker.errors.append(f"{place}: {upper} must be {what} than {lower}")
+    _check_ages(checker)
+
+
+def _check_ages(checker: _Checker) -> None:
+    """A relay's list: no older than the budget through all tiers, and confirmed often enough to be served."""
+    relay = RelaySettings(**checker.values["relay"])
+    show = units.show_duration
+    if relay.max_age + relay.upstream_age > LIST_AGE_MOST:
+        place = checker.origins.get(("relay", "upstream-age")) or checker.origins["relay", "max-age"]
+        told = f"{show(relay.max_age)} and {show(relay.upstream_age)}"
+        checker.errors.append(
+            f"{place}: the ages add: max-age and upstream-age, {told}, must not pass {show(LIST_AGE_MOST)}"
+        )
+    if relay.max_age < 2 * relay.wait + RELAY_LATE:
+        place = checker.origins.get(("relay", "max-age")) or checker.origins["relay", "wait"]
+        checker.errors.append(
+            f"{place}: max-age must be twice wait and {show(RELAY_LATE)} or more, "
+            f"here {show(2 * relay.wait + RELAY_LATE)}"
+        )
--- a/puffinford/operators/schema.py
+++ b/puffinford/operators/schema.py
@@ -16,6 +16,8 @@
 MIN = 60_000.0
 HOUR = 60 * MIN
 DAY = 24 * HOUR
+LIST_AGE_MOST = 2_000.0  # of a list from relays, all tiers together: docs/design-relay.md has the budget
+RELAY_LATE = 400.0  # a relay's own watch without an answer is late so long after its wait
 
 
 def _show(value: Any) -> str:
@@ -90,6 +92,32 @@
     listen: tuple[str, int] = setting(("127.0.0.1", 8122), units.address, "IP:PORT where it listens")
 
 
+def _addresses(doc: str) -> Any:
+    return setting((), units.addresses, doc, units.show_addresses)
+
+
+@dataclass(frozen=True)
+class DiscoverySettings:
+    """`section discovery`: where a balancer's server list comes from."""
+
+    relays: tuple[tuple[str, int], ...] = _addresses("IP:PORT,IP:PORT of list relays; none: discovery itself")
+
+
+@dataclass(frozen=True)
+class RelaySettings:
+    """`section relay`: a list relay (`puffinford relay`). Durations in ms, sizes in bytes."""
+
+    listen: tuple[str, int] = setting(("127.0.0.1", 8124), units.address, "IP:PORT where it listens")
+    upstream: tuple[tuple[str, int], ...] = _addresses("the source, or several in order of preference")
+    max_age: float = _time(2_000.0, 500.0, LIST_AGE_MOST, "a list not confirmed for so long is not served")
+    upstream_age: float = _time(0.0, 0.0, LIST_AGE_MOST, "the max-age of what upstream names; 0: the source")
+    wait: float = _time(500.0, 50.0, 1_000.0, "how long its own watch waits upstream")
+    log_entries: int = setting(4_096, units.count(1, 1_000_000), "changes that are kept at most")
+    log_bytes: int = setting(4 << 20, units.size(1 << 10, 1 << 30), "bytes of them at most", units.show_size)
+    coalesce: float = _time(100.0, 0.0, 500.0, "changes that come within so long are sent together")
+    calls: int = setting(8_192, units.count(1, 1_000_000), "calls open at once at most")
+
+
 @dataclass(frozen=True)
 class OperatorSettings:
     """All sections."""
@@ -97,12 +125,16 @@
     state: StateSettings = StateSettings()
     rebalance: RebalanceSettings = RebalanceSettings()
     channels: ChannelSettings = ChannelSettings()
+    discovery: DiscoverySettings = DiscoverySettings()
+    relay: RelaySettings = RelaySettings()
 
 
 SECTIONS: dict[str, type[Any]] = {
     "state": StateSettings,
     "rebalance": RebalanceSettings,
     "channels": ChannelSettings,
+    "discovery": DiscoverySettings,
+    "relay": RelaySettings,
 }
 
 
--- a/puffinford/operators/units.py
+++ b/puffinford/operators/units.py
@@ -129,6 +129,35 @@
     return None if word == "none" else word
 
 
+ADDRESSES_MOST = 64
+
+
+def addresses(word: str) -> tuple[tuple[str, int], ...]:
+    """IP:PORT, or several with commas between them, each once; `none` for none."""
+    if word == "none":
+        return ()
+    listed = [address(part) for part in word.split(",")]
+    if len(listed) > ADDRESSES_MOST:
+        raise ValueError(f"more than {ADDRESSES_MOST} addresses")
+    for number, one in enumerate(listed):
+        if one in listed[:number]:
+            raise ValueError(f"{show_address(one)!r} stands there twice")
+        if one[1] == 0:
+            raise ValueError(f"{show_address(one)!r} names no port")
+    return tuple(listed)
+
+
+def show_address(one: tuple[str, int]) -> str:
+    """An address as the file would have it."""
+    host, port = one
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def show_addresses(listed: tuple[tuple[str, int], ...]) -> str:
+    """Addresses as the file would have them."""
+    return ",".join(map(show_address, listed)) or "none"
+
+
 def address(word: str) -> tuple[str, int]:
     """IP:PORT; an IPv6 address stands in brackets."""
     try:
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -36,6 +36,7 @@
     local_address,
 )
 from puffinford.machines.discovery import DiscoveryWatch
+from puffinford.machines.endpoints import preference
 from puffinford.machines.inventory import InventoryFile
 from puffinford.management.calls import Calls
 from puffinford.management.cordons import Cordons
@@ -116,8 +117,9 @@
             assert config.discovery is not None
             unprompted = not config.settings.list_on_request
             rng = random.Random(config.seed ^ 0xD15C)
+            relays = preference(config.name or str(config.listen), config.operators.discovery.relays)
             self._source = DiscoveryWatch(
-                config.discovery, start.version, clock, self._take_list, unprompted, rng
+                config.discovery, start.version, clock, self._take_list, unprompted, rng, relays
             )
         clients = LineSubmitters(self._exchange, door)
         self._lines = Front("lines", clients.handle, door, turn_away=clients.turn_away)
