--- a/puffinford/machines/watch.py
+++ b/puffinford/machines/watch.py
@@ -26,6 +26,7 @@
 MOVED_FOR = 4_000.0  # after a move its news counts as told; until then a failed call is repeated soon
 MOVED_RETRY = 250.0
 AGENT_RETRY = 150.0  # where lists are pushed: a watch goes on if the next call follows within 200 ms
+DOUBT_FOR = 10_000.0  # so long an older list is not believed that one of several endpoints tells alone
 SAID_EVERY = 10_000.0  # a call that fails again and again is logged no more often
 ANSWER_MOST = 4 << 20
 WHOLE = "/v1/servers"
@@ -87,6 +88,24 @@
     received: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Doubt:
+    """An answer below the version `held` came from `endpoint`, at `since` ms."""
+
+    held: int
+    endpoint: Address
+    since: float
+
+    def stays(self, heard: Heard[Answer]) -> bool:
+        """Whether an answer says no more than what is doubted.
+
+        Guards against one relay that was restarted with an older list: while there are others, it is not
+        believed for saying it again, until these have been silent for long.
+        """
+        older = heard.answer.version < self.held and heard.asked.endpoint == self.endpoint
+        return older and heard.received < self.since + DOUBT_FOR
+
+
 class ListWatch(Generic[Answer]):
     """Calls a list service for as long as it is subscribed."""
 
@@ -107,7 +126,7 @@
         """
         self._endpoints = endpoints
         self._version = version  # 0 is a version too
-        self._doubted: int | None = None  # the version held while an answer below it is doubted
+        self._doubt: _Doubt | None = None
         self._rng = rng or random.Random()
         self._clock = clock
         self._decode = decode
@@ -200,7 +219,9 @@
         Guards against an endpoint that is behind: where there is another, it is asked whether there is
         anything newer than what is held before an older list is believed.
         """
-        return self._doubted if self._version is None else self._version
+        if self._version is None and self._doubt is not None:
+            return self._doubt.held
+        return self._version
 
     async def _once(self, index: int | None, wait: int) -> bool:
         """One answer: that of whichever call brings it first, the one for `index` or those beside it."""
@@ -214,23 +235,28 @@
             self._say(asked.path, str(exc))
             self._take(None)
             return False
+        if self._doubt is not None and self._doubt.stays(heard):
+            self._endpoints.failed(heard.asked.endpoint, heard.received)
+            self._say(asked.path, f"version {heard.answer.version} after {self._doubt.held}")
+            self._take(None)
+            return False
         self._said_at = float("-inf")
         self._heard_from = heard.asked.endpoint
         log.info("discovery", extra={"version": heard.answer.version, "entries": heard.answer.size})
         held = self._version
         self._version = self._take(heard)
-        self._note_doubt(heard.asked, held)
+        self._note_doubt(heard, held)
         return True
 
-    def _note_doubt(self, asked: Asked, held: int | None) -> None:
+    def _note_doubt(self, heard: Heard[Answer], held: int | None) -> None:
         """After an answer: whether its endpoint is gone on with."""
-        now = self._clock.now()
+        endpoint = heard.asked.endpoint
         if self._version is not None or len(self._endpoints) == 1:
-            self._doubted = None
-            self._endpoints.answered(asked.endpoint, now)
+            self._doubt = None
+            self._endpoints.answered(endpoint, heard.received)
             return
-        self._doubted = held
-        self._endpoints.failed(asked.endpoint, now)
+        self._doubt = None if held is None else _Doubt(held, endpoint, heard.received)
+        self._endpoints.failed(endpoint, heard.received)
 
     def _say(self, path: str, error: str) -> None:
         if self._clock.now() >= self._said_at + SAID_EVERY:
--- a/puffinford/relay/core.py
+++ b/puffinford/relay/core.py
@@ -94,6 +94,7 @@
         self._dues: list[tuple[float, int, Hashable]] = []
         self._number = 0
         self._behind: dict[Hashable, _Behind] = {}
+        self._noticed = False  # there is bad news that belongs to no version
         self._ready: deque[Hashable] = deque()  # parked callers to whom there is something to tell
 
     @property
@@ -118,6 +119,7 @@
         judged = self._guard.judge(answer, self.log.held)
         if judged.note:
             if judged.taken is not None and self.log.notice(judged.taken.entries):
+                self._noticed = True
                 self._tell(now)
             return judged.version, judged.note
         quiet = asked.index == answer.version and not answer.full and not answer.entries
@@ -159,7 +161,7 @@
         if not self.staleness.fresh(now):
             return self._end_watches(most)
         if self._window.close(now):
-            self._ready.extend(self._parked)
+            self._ready.extend(self._with_news())
         responses: list[Response | None] = []
         for caller in self._admission.next():
             responses.append(self._send(caller, self.cache.get(None)))
@@ -175,6 +177,12 @@
         responses += self._look_behind(now, most - len(responses))
         return [response for response in responses if response is not None]
 
+    def _with_news(self) -> list[Hashable]:
+        """The parked callers to whom there is something to tell."""
+        everybody, self._noticed = self._noticed, False
+        version = self.log.version
+        return [caller for caller, parked in self._parked.items() if everybody or parked.index != version]
+
     def _park(self, caller: Hashable, index: int, due: float) -> None:
         self._number += 1
         self._parked[caller] = _Parked(index, due, self._number)
