--- /dev/null
+++ b/tests/test_relay_age.py
@@ -0,0 +1,267 @@
+"""The bound on the list's age through relays: 6 s after the source had a change, each balancer knows it.
+
+The clock is settable and the sockets are real; watch, relay and guard are the program's own. Sources, the
+calls to relays, or both let us down in the worst order, at every phase of their cycles.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+import pytest
+
+from puffinford.core.clock import SettableClock
+from puffinford.core.values import MachineList
+from puffinford.interface import ServerState
+from puffinford.machines.discovery import DiscoveryWatch
+from puffinford.operators import RelaySettings
+from puffinford.relay.service import RelayService
+from puffinford.stage.faults import Fault
+from puffinford.stage.links import Link
+from puffinford.state.recovery import ListGuard
+
+pytestmark = pytest.mark.anyio
+TOLD = 6_000.0  # ms after which a change counts as told
+STEP = 25.0
+TURNS = 40  # of the loop in a step: what was sent in it arrives, over three hops
+ONE_TIER, TWO_TIERS = "one tier", "two tiers"
+
+
+@dataclass
+class Source:
+    """The list: one server, which begins to drain at version 2."""
+
+    clock: SettableClock
+    version: int = 1
+    state: str = "active"
+    news: anyio.Event = field(default_factory=anyio.Event)
+
+    def drain(self) -> None:
+        self.version, self.state = self.version + 1, "leaving"
+        self.news.set()
+        self.news = anyio.Event()
+
+    async def play(self, stream: anyio.abc.SocketStream) -> None:
+        target = (await stream.receive()).split(b" ")[1]
+        figures = dict(pair.split(b"=") for pair in target.partition(b"?")[2].split(b"&") if pair)
+        index = int(figures.get(b"index", b"-1"))
+        version = self.version
+        if index == version:
+            with self.clock.limit(float(figures[b"wait"])):
+                await self.news.wait()
+        full = index < 0 or index > self.version
+        entry = {"id": "s-1", "addr": "127.0.0.1:9", "state": self.state}
+        told = {"version": self.version, "full": full, "servers": [entry] if index != self.version else []}
+        body = json.dumps(told).encode()
+        await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+class Fleet:
+    """Relays, each with a link to what is above it, and a balancer with a link to each of its relays."""
+
+    def __init__(self, tasks: anyio.abc.TaskGroup) -> None:
+        self.clock = SettableClock()
+        self.tasks = tasks
+        self.guard = ListGuard()
+        self.state: ServerState | None = None
+        self.versions: list[int] = []
+        self.services: list[RelayService] = []
+
+    async def serve(self, source: Source) -> int:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+
+        async def handle(stream: anyio.abc.SocketStream) -> None:
+            async with stream:
+                with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                    await source.play(stream)
+
+        self.tasks.start_soon(listener.serve, handle)
+        return int(listener.extra(anyio.abc.SocketAttribute.local_port))
+
+    def link(self, port: int) -> Link:
+        return Link("", ("127.0.0.1", port), self.clock, self.tasks)
+
+    async def relay(self, port: int, tiers: str, last: bool, max_age: float) -> int:
+        if tiers == ONE_TIER:
+            told = RelaySettings(("127.0.0.1", 0), (("127.0.0.1", port),), max_age)
+        else:
+            half, above = max_age / 2.0, max_age / 2.0 if last else 0.0
+            told = RelaySettings(("127.0.0.1", 0), (("127.0.0.1", port),), half, above, wait=200.0)
+        service = RelayService(told, self.clock, random.Random(len(self.services)))
+        _, number = await service.listen()
+        self.tasks.start_soon(service.run)
+        self.services.append(service)
+        return number
+
+    async def balance(self, relays: list[Link], seed: int) -> None:
+        """A balancer from now on, once the relays have their list; it prefers the first."""
+        await self.pass_time(1_000.0)
+        addresses = [("127.0.0.1", link.number) for link in relays]
+        nowhere = ("127.0.0.1", 1)
+        rng = random.Random(seed)
+        watch = DiscoveryWatch(nowhere, None, self.clock, self._take, True, rng, addresses)
+        self.tasks.start_soon(watch.run)
+
+    def _take(self, machines: MachineList | None) -> int | None:
+        if machines is None:
+            return self.guard.version
+        taken = self.guard.judge(machines)
+        if taken.machines is not None:
+            self.versions.append(taken.machines.version)
+            for machine in taken.machines.machines:
+                self.state = machine.server.state
+        return taken.version
+
+    async def pass_time(self, ms: float, until: Callable[[], bool] = lambda: False) -> float:
+        passed = 0.0
+        while passed < ms and not until():
+            self.clock.advance(STEP)
+            passed += STEP
+            for _ in range(TURNS):
+                await anyio.sleep(0)
+        return passed
+
+    def knows(self) -> bool:
+        return self.state is ServerState.DRAINING
+
+
+@asynccontextmanager
+async def fleet() -> AsyncIterator[Fleet]:
+    with anyio.fail_after(60):
+        async with anyio.create_task_group() as tasks:
+            yield Fleet(tasks)
+            tasks.cancel_scope.cancel()
+
+
+async def late(tiers: str, phase: float, seed: int, max_age: float = 2_000.0) -> float:
+    """How late a balancer of three relays hears, if what its first relay hears from falls silent just before
+    the change, and its second relay falls silent as the first one does not answer any more.
+    """
+    async with fleet() as here:
+        source = Source(here.clock)
+        port = await here.serve(source)
+        above, ways = [], []
+        for _ in range(3):
+            above.append(here.link(port))
+            number = await here.relay(above[-1].number, tiers, tiers == ONE_TIER, max_age)
+            if tiers == TWO_TIERS:
+                above.append(here.link(number))
+                number = await here.relay(above[-1].number, tiers, True, max_age)
+            ways.append(here.link(number))
+        await here.balance(ways, seed)
+        await here.pass_time(2_500.0 + phase)
+        assert here.state is ServerState.LIVE and not ways[1].lines and not ways[2].lines
+        await above[0].become(Fault("hold"))
+        source.drain()
+        if tiers == TWO_TIERS:
+            # Its own relay falls silent only as the list above that is too old.
+            async def then() -> None:
+                await here.clock.sleep(max_age / 2.0 - 2 * STEP)
+                await above[1].become(Fault("hold"))
+
+            here.tasks.start_soon(then)
+
+        async def silent(way: Link, after: float) -> None:
+            await here.clock.sleep(after)
+            await way.become(Fault("hold"))
+
+        # The first relay itself stands still just before it would have said that its list is too old.
+        here.tasks.start_soon(silent, ways[0], min(max_age, 2_000.0) - phase % 500.0 - 2 * STEP)
+        here.tasks.start_soon(silent, ways[1], 0.0)
+        return await here.pass_time(3 * TOLD, here.knows)
+
+
+@pytest.fixture(autouse=True)
+def quiet(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.ERROR)
+
+
+@pytest.mark.parametrize("tiers", [ONE_TIER, TWO_TIERS])
+@pytest.mark.parametrize("phase", [125.0 * number for number in range(0, 16)])
+async def test_a_change_is_known_in_6_s_whatever_falls_silent(tiers: str, phase: float) -> None:
+    assert await late(tiers, phase, 1 + int(phase) % 7) <= TOLD
+
+
+@pytest.mark.parametrize("tiers", [ONE_TIER, TWO_TIERS])
+async def test_a_relay_that_did_not_look_at_its_age_would_break_the_bound(tiers: str) -> None:
+    """The story above bites: with lists of any age, the first relay keeps its balancer from the change."""
+    assert await late_from_stale(tiers, 2_000.0) <= TOLD < await late_from_stale(tiers, 60_000.0)
+
+
+async def late_from_stale(tiers: str, max_age: float) -> float:
+    async with fleet() as here:
+        source = Source(here.clock)
+        port = await here.serve(source)
+        above, ways = [], []
+        for _ in range(2):
+            above.append(here.link(port))
+            number = await here.relay(above[-1].number, tiers, tiers == ONE_TIER, max_age)
+            if tiers == TWO_TIERS:
+                number = await here.relay(number, tiers, True, max_age)
+            ways.append(here.link(number))
+        await here.balance(ways, 1)
+        await here.pass_time(3_000.0)
+        await above[0].become(Fault("hold"))
+        source.drain()
+        return await here.pass_time(2 * TOLD, here.knows)
+
+
+@pytest.mark.parametrize("down", [3_000.0, 10_000.0, 30_000.0])
+async def test_a_source_that_was_away_from_all_relays_is_heard_6_s_after_it_is_back(down: float) -> None:
+    async with fleet() as here:
+        source = Source(here.clock)
+        port = await here.serve(source)
+        above = [here.link(port) for _ in range(2)]
+        ways = [here.link(await here.relay(link.number, ONE_TIER, True, 2_000.0)) for link in above]
+        await here.balance(ways, 1)
+        await here.pass_time(3_000.0)
+        for link in above:
+            await link.become(Fault("rst"))
+        source.drain()
+        await here.pass_time(down)
+        assert here.state is ServerState.LIVE, "the last list stays in force"
+        for link in above:
+            await link.become(Fault())
+        assert await here.pass_time(TOLD, here.knows) <= TOLD - 1_000.0
+
+
+async def test_an_older_list_never_follows_a_newer_one_after_a_relay_came_back_with_it() -> None:
+    """The balancer's other relay is silent, so it hears from the one with the older source alone, twice."""
+    async with fleet() as here:
+        old, new = Source(here.clock), Source(here.clock, version=8)
+        ports = [await here.serve(old), await here.serve(new)]
+        ways = [here.link(await here.relay(port, ONE_TIER, True, 2_000.0)) for port in ports]
+        await ways[0].become(Fault("rst"))
+        await here.balance(ways, 1)
+        await here.pass_time(3_000.0)
+        new.drain()
+        await here.pass_time(1_000.0)
+        assert here.versions[-1] == 9 and here.knows()
+        await ways[1].become(Fault("hold"))
+        await ways[0].become(Fault())
+        await here.pass_time(9_000.0)
+        assert here.knows(), "twice the same from the same relay is not believed"
+        await ways[1].become(Fault())
+        new.drain()
+        await here.pass_time(3_000.0)
+        assert here.versions[-1] == 10 and here.versions == sorted(here.versions)
+
+
+async def test_a_source_that_went_back_is_believed_once_two_relays_say_so() -> None:
+    async with fleet() as here:
+        source = Source(here.clock, version=8)
+        port = await here.serve(source)
+        ways = [here.link(await here.relay(port, ONE_TIER, True, 2_000.0)) for _ in range(2)]
+        await here.balance(ways, 1)
+        await here.pass_time(3_000.0)
+        source.version = 2
+        source.drain()
+        await here.pass_time(4_000.0, lambda: here.versions[-1] == 3)
+        assert here.versions[-1] == 3 and here.knows()
