--- a/puffinford/relay/service.py
+++ b/puffinford/relay/service.py
@@ -96,7 +96,7 @@
 
     async def listen(self) -> tuple[str, int]:
         """Listen from now on; the address, with its port. Raises OSError."""
-        address = await self.server.listen(self._settings.listen)
+        address = self.server.listen(self._settings.listen)
         log.info("serving", extra={"front": "relay", "listen": "{}:{}".format(*address)})
         return address
 
