--- a/puffinford/relay/server.py
+++ b/puffinford/relay/server.py
@@ -48,10 +48,12 @@
 class Caller:
     """One connection. It is the token by which the decisions know the call."""
 
-    __slots__ = ("_buffer", "_loop", "_rest", "_server", "_sock", "state")
+    __slots__ = ("_buffer", "_loop", "_number", "_rest", "_server", "_sock", "_watched", "state")
 
     def __init__(self, sock: socket.socket, server: CallServer, loop: asyncio.AbstractEventLoop) -> None:
         self._sock = sock
+        self._number = sock.fileno()  # the selector is quicker by number
+        self._watched = False  # whether the selector looks at it
         self._server = server
         self._loop = loop
         self._buffer = b""
@@ -62,7 +64,8 @@
         """Read what is there already, and then what comes."""
         self._read()
         if self.state in (State.READING, State.WAITING):
-            self._loop.add_reader(self._sock, self._read)
+            self._watched = True
+            self._loop.add_reader(self._number, self._read)
 
     def _read(self) -> None:
         try:
@@ -86,12 +89,13 @@
         """Write the answer; the connection ends with it."""
         if self.state not in (State.READING, State.WAITING):
             return
-        self._loop.remove_reader(self._sock)
         self.state = State.WRITING
         self._rest = memoryview(data)
         self._write()
         if self.state is State.WRITING:
-            self._loop.add_writer(self._sock, self._write)
+            self._look_away()
+            self._watched = True
+            self._loop.add_writer(self._number, self._write)
 
     def _write(self) -> None:
         try:
@@ -104,14 +108,19 @@
         if not self._rest:
             self.end()
 
+    def _look_away(self) -> None:
+        if self._watched:
+            self._watched = False
+            self._loop.remove_reader(self._number)
+            self._loop.remove_writer(self._number)
+
     def end(self, reset: bool = False) -> None:
         """Close the connection, if it is open."""
         if self.state is State.ENDED:
             return
         self.state = State.ENDED
         self._rest = memoryview(b"")
-        self._loop.remove_reader(self._sock)
-        self._loop.remove_writer(self._sock)
+        self._look_away()
         if reset:
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         self._sock.close()
--- a/puffinford/relay/service.py
+++ b/puffinford/relay/service.py
@@ -24,7 +24,7 @@
 
 log = logging.getLogger(__name__)
 
-TICK = 10.0  # ms between looks for what is due
+TICK = 20.0  # ms between looks for what is due
 BATCH = 128  # answers written before the loop has a turn
 FIGURES_EVERY = 10_000.0  # ms
 DESCRIPTORS_SPARE = 64  # for all that is no caller
