--- a/tests/test_relay_age.py
+++ b/tests/test_relay_age.py
@@ -106,8 +106,10 @@
         addresses = [("127.0.0.1", link.number) for link in relays]
         nowhere = ("127.0.0.1", 1)
         rng = random.Random(seed)
-        watch = DiscoveryWatch(nowhere, None, self.clock, self._take, True, rng, addresses)
+        watch = DiscoveryWatch(nowhere, None, self.clock, self._take, False, rng, addresses)
         self.tasks.start_soon(watch.run)
+        await self.pass_time(STEP)
+        watch.subscribe(True)
 
     def _take(self, machines: MachineList | None) -> int | None:
         if machines is None:
