--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # build: what run and sim need; test, lint: what CI checks; run: one balancer by $EDGE_CONFIG; demo: ten seconds of a
-# small fleet round one balancer; bench-NAME: a measurement, whose last line is `bench NAME key=value ...`
-.PHONY: build dev test lint run demo bench-start bench-rebalance bench-fleet bench-spread stage
+# small fleet round one balancer; bench-NAME: a measurement, whose last line is `bench NAME key=value ...`, with the
+# options in ARGS. Each target installs what it needs: .venv serves, .stage-venv plays stories, .ci-venv tests.
+.PHONY: build dev test lint run demo bench-start bench-rebalance bench-fleet bench-spread stage stage-packages
 
 build:
 	test -x .venv/bin/python || python3 -m venv .venv
@@ -11,6 +12,10 @@
 	test -x .ci-venv/bin/python || python3 -m venv .ci-venv
 	.ci-venv/bin/pip -q install --disable-pip-version-check -r requirements-dev.txt
 
+stage-packages:
+	test -x .stage-venv/bin/python || python3 -m venv .stage-venv
+	.stage-venv/bin/pip -q install --disable-pip-version-check -r requirements-stage.txt
+
 test: dev
 	.ci-venv/bin/python -m pytest -q -p no:cacheprovider
 
@@ -23,23 +28,23 @@
 run: build
 	.venv/bin/python -m puffinford serve
 
-demo: build
-	.venv/bin/python -m puffinford.stage.demo
+demo: stage-packages
+	.stage-venv/bin/python -m puffinford.stage.demo
 
 # BEFORE=TREE plays another checkout of the program in turns
 bench-start: build
-	.venv/bin/python -m benchmarks.start $(if $(BEFORE),--before $(BEFORE))
+	.venv/bin/python -m benchmarks.start $(ARGS) $(if $(BEFORE),--before $(BEFORE))
 
 bench-rebalance: build
-	.venv/bin/python -m benchmarks.rebalance
+	.venv/bin/python -m benchmarks.rebalance $(ARGS)
 
-# BEFORE=TREE plays another checkout too; the stage needs more than serving does
-bench-spread: dev
-	.ci-venv/bin/python -m benchmarks.spread $(if $(BEFORE),--before $(BEFORE))
+# BEFORE=TREE plays another checkout too
+bench-spread: stage-packages
+	.stage-venv/bin/python -m benchmarks.spread $(ARGS) $(if $(BEFORE),--before $(BEFORE))
 
 # STORY=NAME or a file
-stage: dev
-	.ci-venv/bin/python -m puffinford stage play $(or $(STORY),calm)
+stage: stage-packages
+	.stage-venv/bin/python -m puffinford stage play $(or $(STORY),calm)
 
 bench-fleet: build
-	.venv/bin/python -m benchmarks.fleet
+	.venv/bin/python -m benchmarks.fleet $(ARGS)
