--- a/benchmarks/start/__main__.py
+++ b/benchmarks/start/__main__.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import json
+import math
 import statistics
 import tempfile
 from dataclasses import asdict
@@ -54,6 +55,8 @@
     figures: dict[str, float] = {}
     for name, results in found.items():
         middle = story.median_run(results)
+        if math.isnan(middle.p99):
+            raise click.ClickException(f"{name}: no opening of the middle run was up; longer --seconds?")
         figures[f"in_time_{name}"] = round(100 * middle.share, 1)
         figures[f"first_ms_{name}"] = round(statistics.median(r.first_ms for r in results))
         figures[f"p99_ms_{name}"] = round(middle.p99)
