--- a/puffinford/machines/discovery.py
+++ b/puffinford/machines/discovery.py
@@ -71,7 +71,7 @@
         one first.
         """
         self._address = address
-        self._relayed = bool(relays)
+        self.relayed = bool(relays)  # whether relays are asked in place of discovery
         rng = rng or random.Random()
         timing = THROUGH_RELAYS if relays else DIRECT
         endpoints = Endpoints(relays or [address], rng, timing.retry or RetryPolicy())
@@ -90,7 +90,7 @@
         if address == self._address:
             return
         self._address = address
-        if self._relayed:
+        if self.relayed:
             return
         log.info("discovery moved", extra={"to": "{}:{}".format(*address)})
         self.restart(Endpoints([address], self._rng, RetryPolicy()))
