--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -298,6 +298,8 @@
         old, self._config = self._config, config
         if config.operators.state != old.operators.state:
             log.warning("state settings", extra={"in_force": "at the next start"})
+        if config.operators.discovery != old.operators.discovery:
+            log.warning("discovery settings", extra={"in_force": "at the next start"})
         self._rebalancer.take_settings(config.settings)
         if config.operators.rebalance != old.operators.rebalance:
             self._rebalancer.planner.configure(figures(config.operators.rebalance))
