--- a/puffinford/relay/service.py
+++ b/puffinford/relay/service.py
@@ -179,9 +179,11 @@
 
 def _descriptors() -> int:
     """How many descriptors this process may have: as many as the system lets it take."""
-    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    allowed, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if most == resource.RLIM_INFINITY:
+        return allowed
     resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
-    return most if most != resource.RLIM_INFINITY else 1 << 20
+    return most
 
 
 async def serve_relay(settings: RelaySettings, clock: Clock) -> None:
