Watch: a pause where every answer is doubted; relay: bad answers from upstream, doubt said once

A source whose every answer is below the version held was called without a pause, by a balancer as well.

--- a/puffinford/machines/watch.py
+++ b/puffinford/machines/watch.py
@@ -196,6 +196,9 @@
                     if wait and self._version == version and self._clock.now() < began + SAME_LEAST:
                         # Guards our own core against a discovery that answers a watch at once without news.
                         await self._clock.sleep(SAME_LEAST)
+                    elif version is None and self._version is None:
+                        # Guards it against a discovery whose every answer is doubted.
+                        await self._clock.sleep(SAME_LEAST)
                     continue
                 if self._timing.retry is not None:
                     self._asked = False
--- a/puffinford/relay/service.py
+++ b/puffinford/relay/service.py
@@ -26,7 +26,7 @@
 
 TICK = 20.0  # ms between looks for what is due
 BATCH = 128  # answers written before the loop has a turn
-FIGURES_EVERY = 10_000.0  # ms
+FIGURES_EVERY = 10_000.0  # ms; doubts of an upstream are logged no more often either
 DESCRIPTORS_SPARE = 64  # for all that is no caller
 RETRY = RetryPolicy(first=250.0, most=1_000.0)  # relays are few, and their lists grow old meanwhile
 
@@ -93,6 +93,7 @@
         self._fresh: bool | None = None
         self._stale_since = clock.now()
         self._refused_before = 0
+        self._doubted_at = float("-inf")
 
     async def listen(self) -> tuple[str, int]:
         """Listen from now on; the address, with its port. Raises OSError."""
@@ -112,7 +113,8 @@
 
     def _heard(self, heard: Heard[RawList] | None) -> int | None:
         version, doubt = self.relay.heard(heard, self._clock.now())
-        if doubt:
+        if doubt and self._clock.now() >= self._doubted_at + FIGURES_EVERY:
+            self._doubted_at = self._clock.now()
             log.warning("upstream doubted", extra={"why": doubt})
         return version
 
--- a/tests/test_relay_age.py
+++ b/tests/test_relay_age.py
@@ -42,6 +42,8 @@
     version: int = 1
     state: str = "active"
     news: anyio.Event = field(default_factory=anyio.Event)
+    calls: int = 0
+    bad: bytes = b""  # the answer to every call, and then silence
 
     def drain(self) -> None:
         self.version, self.state = self.version + 1, "leaving"
@@ -50,6 +52,10 @@
 
     async def play(self, stream: anyio.abc.SocketStream) -> None:
         target = (await stream.receive()).split(b" ")[1]
+        self.calls += 1
+        if self.bad:
+            await stream.send(self.bad)
+            await anyio.sleep_forever()
         figures = dict(pair.split(b"=") for pair in target.partition(b"?")[2].split(b"&") if pair)
         index = int(figures.get(b"index", b"-1"))
         version = self.version
@@ -270,3 +276,42 @@
         source.drain()
         await here.pass_time(4_000.0, lambda: here.versions[-1] == 3)
         assert here.versions[-1] == 3 and here.knows()
+
+
+def answer(body: bytes, length: int | None = None) -> bytes:
+    size = len(body) if length is None else length
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (size, body)
+
+
+BAD_ANSWERS = {
+    "half": answer(b'{"version":2,"full":true,"serv', 900),
+    "no list": answer(b"not a list"),
+    "too long": answer(b" " * (5 << 20)),
+    "a frame of another form": answer(b'{"version":"2","full":1,"servers":{}}'),
+    "changes of an older list": answer(b'{"version":0,"full":false,"servers":[]}'),
+    "silence": b"HTTP/1.1 200 OK\r\n",
+}
+
+
+@pytest.mark.parametrize("bad", BAD_ANSWERS)
+async def test_a_bad_answer_from_upstream_leaves_the_list_in_force_until_it_is_too_old(
+    bad: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    async with fleet() as here:
+        source, (chain,) = await chains(here, ONE_TIER, 1, 2_000.0)
+        await here.balance([chain.way], 1)
+        await here.pass_time(1_000.0)
+        relay = here.services[0].relay
+        source.bad = BAD_ANSWERS[bad]
+        await here.pass_time(1_400.0)
+        assert relay.log.version == 1 and relay.staleness.fresh(here.clock.now())
+        await here.pass_time(5_000.0)
+        assert relay.log.version == 1 and not relay.staleness.fresh(here.clock.now())
+        assert here.state is ServerState.LIVE, "balancers keep their last list"
+        said = [record.getMessage() for record in caplog.records]
+        assert said.count("stale") == 1 and said.count("discovery failed") <= 4, "each side in 10 s"
+        assert said.count("upstream doubted") <= 1 and source.calls <= 80
+        source.bad = b""
+        source.drain()
+        assert await here.pass_time(TOLD, here.knows) < TOLD
