Part the exchange by lifecycle into modules with one job each

core/exchange.py had grown to 851 lines: job table, server list, admission, attempts, relaying, silence, delays, endings and drain, all as methods over one set of attributes.

Each is a small class in a module of its own now, given its collaborators by name; what all share (clock, settings in force, job table, the way to the module) is a typed context. The exchange keeps its public methods and is the place where the parts meet. Behaviour, log events, their keys and `from=core.exchange` stay as they are: the parts write through one logger.

Tests change only where they reached into private attributes.

Not taken: mixins, which would have kept one object with every attribute.

--- /dev/null
+++ b/puffinford/core/admission.py
@@ -0,0 +1,34 @@
+"""Admission: the last look before an attempt."""
+
+from __future__ import annotations
+
+from puffinford import interface as it
+from puffinford.core.clock import Clock
+from puffinford.core.endings import Endings
+from puffinford.core.jobs import Claim, Ending, Job
+from puffinford.core.servers import ServerTable
+from puffinford.core.values import ClaimEnded
+
+
+class Admission:
+    """Whether an attempt may still begin."""
+
+    def __init__(self, clock: Clock, servers: ServerTable, endings: Endings) -> None:
+        self._clock = clock
+        self._servers = servers
+        self._endings = endings
+
+    async def admit(self, job: Job, claim: Claim, until: float) -> None:
+        """The last look before an attempt, and again before its first byte; raises ClaimEnded.
+
+        Guards the server against a client that has gone, though its end may lie unread; against what the list
+        or the operators have told since the choice, while the attempt waited or connected; and against a
+        repeat later than the window in which the servers discard it (`until`).
+        """
+        if await job.submitter.left() or job.ending is not None:
+            self._endings.abandon(job, Ending(broken=True))
+            raise ClaimEnded(it.Result.CANCELLED)
+        if job.opening.at is None and not self._servers.may_begin(claim.machine.server.id):
+            raise ClaimEnded(it.Result.MOOT)
+        if self._clock.now() >= until:
+            raise ClaimEnded(it.Result.MOOT)
--- /dev/null
+++ b/puffinford/core/context.py
@@ -0,0 +1,36 @@
+"""What the parts of one exchange share."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from puffinford import interface as it
+from puffinford.core.clock import Clock
+from puffinford.core.figures import Figures
+from puffinford.core.jobs import JobTable
+from puffinford.core.values import JobWatcher
+
+
+@dataclass(slots=True)
+class Context:
+    """The clock, the settings in force, the job table and the way to the decision module.
+
+    `settings` and `watcher` change while the process runs: a part reads them here and keeps neither.
+    """
+
+    clock: Clock
+    settings: it.Settings
+    rng: random.Random
+    tell: Callable[[it.Event], None]  # tells the decision module, and has its actions carried out
+    figures: Figures = field(default_factory=Figures)
+    jobs: JobTable = field(default_factory=JobTable)
+    watcher: JobWatcher | None = None
+    classes: frozenset[str] = frozenset()  # the names of those in `settings`
+
+    def configure(self, settings: it.Settings) -> None:
+        """Put settings in force."""
+        self.settings = settings
+        self.classes = frozenset(cls.name for cls in settings.classes)
+        self.figures.know(cls.name for cls in settings.classes)
--- /dev/null
+++ b/puffinford/core/jobs.py
@@ -0,0 +1,88 @@
+"""The job table: one entry a request, from its opening to the end of its connection."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+
+from puffinford.core.delays import Unanswered
+from puffinford.core.values import Busy, Failed, Leg, Machine, Opening, SubmitterLeg
+from puffinford.hashing import stable_hash
+
+
+class Claim:
+    """One attempt at a server."""
+
+    __slots__ = ("leg", "machine", "number", "scope", "sent", "started", "unanswered")
+
+    def __init__(self, machine: Machine, number: int, started: float) -> None:
+        self.machine = machine
+        self.number = number
+        self.started = started
+        self.scope = anyio.CancelScope()
+        self.leg: Leg | None = None  # set once it stands
+        self.sent = False  # the last byte of the opening was written: it may run
+        self.unanswered = Unanswered()
+
+
+class Job:
+    """One request, from its opening to the end of its connection."""
+
+    def __init__(self, opening: Opening, submitter: SubmitterLeg, deadline: float) -> None:
+        self.opening = opening
+        self.submitter = submitter
+        self.deadline = deadline
+        self.tasks: anyio.abc.TaskGroup
+        self.claim: Claim | None = None
+        self.claims = 0
+        self.up = anyio.Event()
+        self.done = anyio.Event()
+        self.left = False  # the submitter has ended its side
+        self.ending: Ending | None = None
+
+    @property
+    def id(self) -> str:
+        return self.opening.job
+
+    @property
+    def key(self) -> int:
+        """The opening's key as a number."""
+        return number_of(self.opening.key)
+
+    @property
+    def standing(self) -> bool:
+        return self.ending is None and self.claim is not None and self.claim.leg is not None
+
+
+class Ending:
+    """How a job ends: an answer, or what happens to both legs of a connection that stood."""
+
+    __slots__ = ("answer", "broken", "move")
+
+    def __init__(
+        self, answer: Busy | Failed | None = None, *, broken: bool = False, move: bool = False
+    ) -> None:
+        self.answer = answer
+        self.broken = broken
+        self.move = move
+
+
+class JobTable(dict[str, Job]):
+    """The jobs that are served now, by id."""
+
+    def standing(self) -> list[tuple[Job, Claim]]:
+        """The jobs whose connections stand, each with the claim that does."""
+        return [(job, job.claim) for job in self.values() if job.standing and job.claim is not None]
+
+    def stands(self, ident: str) -> bool:
+        """Whether there is such a job and its connection stands."""
+        job = self.get(ident)
+        return job is not None and job.standing
+
+
+def number_of(text: str) -> int:
+    """A key or group as the module wants it: the same number at every balancer."""
+    try:
+        return int(text, 16)
+    except ValueError:
+        return stable_hash(text)
--- /dev/null
+++ b/puffinford/core/silence.py
@@ -0,0 +1,48 @@
+"""Standing connections at servers that have gone silent."""
+
+from __future__ import annotations
+
+from puffinford import interface as it
+from puffinford.core.context import Context
+from puffinford.core.endings import Endings
+from puffinford.core.jobs import Claim, Ending, Job
+from puffinford.core.logger import log
+
+# A line unanswered this long. The rules allow a silent connection 7 s, and its submitter may have sent the
+# line 2 s after it fell silent.
+SILENT = 3_500.0
+HUSH = 2_500.0  # a server from which nothing came this long, on any of its connections ...
+HUSH_LINES = 3  # ... while this many of them wait for answers, has vanished
+
+
+class SilenceWatch:
+    """Moves connections away from servers that answer no more."""
+
+    def __init__(self, context: Context, endings: Endings) -> None:
+        self._context = context
+        self._endings = endings
+
+    def move_silent(self) -> None:
+        """Guards against a server that vanished, or stopped on one connection: these stay open, and quiet."""
+        now = self._context.clock.now()
+        standing = self._context.jobs.standing()
+        hushed = self._hushed(standing, now)
+        for job, claim in standing:
+            silence = claim.unanswered.silence(now)
+            ident = claim.machine.server.id
+            if silence > SILENT or ident in hushed:
+                log.warning("silent", extra={"job": job.id, "server": ident, "ms": round(silence)})
+                self._endings.close(job, Ending(move=True), it.Result.RESET)
+
+    def _hushed(self, standing: list[tuple[Job, Claim]], now: float) -> set[str]:
+        """The servers that have vanished, as their connections tell together.
+
+        Guards the clients that have sent nothing of late: each alone would find out seconds later.
+        """
+        heard: dict[str, float] = {}
+        waits: dict[str, int] = {}
+        for _, claim in standing:
+            ident = claim.machine.server.id
+            heard[ident] = max(heard.get(ident, 0.0), claim.unanswered.last_heard, claim.started)
+            waits[ident] = waits.get(ident, 0) + (claim.unanswered.age(now) > 0.0)
+        return {ident for ident, at in heard.items() if waits[ident] >= HUSH_LINES and now - at > HUSH}
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -129,7 +129,7 @@
         assert isinstance(up, codec.OpenConfirmation)
         assert await client.next() == codec.Data(3, b"0123")
         here.tasks.start_soon(here.exchange.drain, 0.0, 0.0)
-        while not here.exchange._leaving:
+        while here.exchange.serving:
             await anyio.sleep(0)
         await client.say(codec.WindowAdjust(up.sender, 100))
         assert await client.next() == codec.Data(3, b"456789\r\n")
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -173,11 +173,11 @@
         await here.server("s-1", echo)
         client = await here.client(opening("01"))
         assert await client.line() == b"UP r1\r\n"
-        whole = here.exchange._sides
-        here.exchange._sides = {"lines": cast(ServerSide, SimpleNamespace(claim=broken))}
+        whole = here.exchange._attempts.sides
+        here.exchange._attempts.sides = {"lines": cast(ServerSide, SimpleNamespace(claim=broken))}
         bad = await here.client(opening("02"))
         assert [await bad.line(), await bad.line()] == [b"ERR failed\r\n", b"FIN"]
-        here.exchange._sides = whole
+        here.exchange._attempts.sides = whole
         assert here.exchange._balancer._load == 1.0
         await client.say(b"on")
         assert await client.line() == b"on\r\n"
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -63,7 +63,7 @@
             here.exchange.take_list(None)
         assert not here.exchange.informed, "there is no list at all"
         here.list_machine("s-1", 1)
-        here.exchange._heard = False
+        here.exchange._servers.heard = False
         assert not here.exchange.informed
         if failed:
             here.exchange.take_list(None)
--- a/tests/test_stall.py
+++ b/tests/test_stall.py
@@ -9,7 +9,7 @@
 import pytest
 
 from puffinford.core.clock import SettableClock
-from puffinford.core.exchange import DOUBT_MOST
+from puffinford.core.stall import DOUBT_MOST
 from puffinford.core.values import MachineList
 from puffinford.interface import ServerState
 from puffinford.machines.discovery import LATE, WAIT, DiscoveryWatch
