Name the client side by its standard name in core and fronts

Submitter was the shop's own word: ClientLeg, LineClients, ChannelClients and the modules fronts/*/client now say client, as the rest of the program does. Behaviour is unchanged; the two loggers keep the names that operators search for.

--- a/puffinford/core/admission.py
+++ b/puffinford/core/admission.py
@@ -25,7 +25,7 @@
         or the operators have told since the choice, while the attempt waited or connected; and against a
         repeat later than the window in which the servers discard it (`until`).
         """
-        if await job.submitter.left() or job.ending is not None:
+        if await job.client.left() or job.ending is not None:
             self._endings.abandon(job, Ending(broken=True))
             raise ClaimEnded(it.Result.CANCELLED)
         if job.opening.at is None and not self._servers.may_begin(claim.machine.server.id):
--- a/puffinford/core/answers.py
+++ b/puffinford/core/answers.py
@@ -8,9 +8,9 @@
 from puffinford.core.figures import Count
 from puffinford.core.jobs import Ending, Job
 from puffinford.core.logger import log
-from puffinford.core.values import Broken, Busy, Failed, Opening, SubmitterLeg
+from puffinford.core.values import Broken, Busy, ClientLeg, Failed, Opening
 
-MOVE_MOST = 800.0  # a submitter that takes no MOVE in this time is cut off
+MOVE_MOST = 800.0  # a client that takes no MOVE in this time is cut off
 
 
 class Answers:
@@ -20,19 +20,19 @@
         self._context = context
 
     async def refuse(
-        self, submitter: SubmitterLeg, answer: Busy | Failed, opening: Opening, job: Job | None = None
+        self, client: ClientLeg, answer: Busy | Failed, opening: Opening, job: Job | None = None
     ) -> None:
         """Give the final answer, log it with its cause, and count it where it is one of a known class."""
         busy = isinstance(answer, Busy)
         self._log(answer, opening, job)
         try:
-            await submitter.answer(answer)
+            await client.answer(answer)
         except Broken:
-            await submitter.abort()
+            await client.abort()
             return
         if opening.cls in self._context.classes:
             self._context.figures.add(opening.cls, Count.REFUSED if busy else Count.FAILED)
-        await submitter.end()
+        await client.end()
 
     def _log(self, answer: Busy | Failed, opening: Opening, job: Job | None) -> None:
         told: dict[str, object] = {"job": opening.job, "key": opening.key, "cls": opening.cls}
@@ -53,27 +53,27 @@
         async with anyio.create_task_group() as tasks:
             if server is not None:
                 tasks.start_soon(server.abort if ending.broken or ending.answer else server.end)
-            await self._end_submitter(job, ending)
+            await self._end_client(job, ending)
 
-    async def _end_submitter(self, job: Job, ending: Ending) -> None:
-        submitter = job.submitter
+    async def _end_client(self, job: Job, ending: Ending) -> None:
+        client = job.client
         if ending.answer is not None:
             watcher = self._context.watcher
             if watcher is not None:
                 failed = not isinstance(ending.answer, Busy)
                 watcher.turned_away(job.key, job.opening.cls, failed=failed)
-            await self.refuse(submitter, ending.answer, job.opening, job)
+            await self.refuse(client, ending.answer, job.opening, job)
             return
-        if ending.broken or (ending.move and not await self._move(submitter)):
-            await submitter.abort()
+        if ending.broken or (ending.move and not await self._move(client)):
+            await client.abort()
             return
-        await submitter.end()
+        await client.end()
 
-    async def _move(self, submitter: SubmitterLeg) -> bool:
-        """Send the submitter away; whether it took the word in time."""
+    async def _move(self, client: ClientLeg) -> bool:
+        """Send the client away; whether it took the word in time."""
         with self._context.clock.limit(MOVE_MOST) as scope:
             try:
-                await submitter.move()
+                await client.move()
             except Broken:
                 scope.cancel()
         return not (scope.cancelled_caught or scope.cancel_called)
--- a/puffinford/core/attempts.py
+++ b/puffinford/core/attempts.py
@@ -128,7 +128,7 @@
     async def _pass_all(self, job: Job, messages: tuple[Message, ...]) -> None:
         try:
             for message in messages:
-                await job.submitter.send(message)
+                await job.client.send(message)
             self._context.figures.add(job.opening.cls, Count.SERVED)
         except Broken:
             pass
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -1,4 +1,4 @@
-"""The exchange: the only place where submitter side and server side meet.
+"""The exchange: the only place where client side and server side meet.
 
 It takes each request, tells the decision module what happens, and has what the module decides carried out by
 its parts, each in a module of its own. A job gets one final answer, and never has two claims out. Neither
@@ -34,6 +34,7 @@
 from puffinford.core.stall import WATCH, StallWatch
 from puffinford.core.values import (
     Busy,
+    ClientLeg,
     Failed,
     JobWatcher,
     MachineList,
@@ -41,7 +42,6 @@
     Opening,
     Restored,
     ServerSide,
-    SubmitterLeg,
 )
 
 ROUND = 1_000.0  # notes of slow messages come once a second
@@ -247,7 +247,7 @@
             case it.Probe():
                 self._tasks.start_soon(self._probes.probe, action.server)
             case it.CloseIdle():
-                pass  # each submitter has a connection of its own: none stands idle
+                pass  # each client has a connection of its own: none stands idle
             case it.Log():
                 log.info("decision", extra={"text": action.message})
 
@@ -257,15 +257,15 @@
 
     # Jobs
 
-    async def serve(self, opening: Opening, submitter: SubmitterLeg, room: bool = True) -> None:
-        """Serve one job to its end. Exactly one final answer goes to the submitter.
+    async def serve(self, opening: Opening, client: ClientLeg, room: bool = True) -> None:
+        """Serve one job to its end. Exactly one final answer goes to the client.
 
         Without `room` for its connections that is a refusal at once.
         """
         refusal = self._refusal(opening, room)
         if refusal is not None:
-            return await self._answers.refuse(submitter, refusal, opening)
-        job = self._jobs[opening.job] = Job(opening, submitter, self._clock.now() + opening.wait)
+            return await self._answers.refuse(client, refusal, opening)
+        job = self._jobs[opening.job] = Job(opening, client, self._clock.now() + opening.wait)
         try:
             await self._serve(job)
         except Exception:
@@ -300,7 +300,7 @@
             tasks.cancel_scope.cancel()
 
     async def _guard(self, job: Job) -> None:
-        """Answer a job that the module has left without one, while its submitter still listens."""
+        """Answer a job that the module has left without one, while its client still listens."""
         slack = self._context.settings.answer_slack + GUARD_AFTER
         with self._clock.limit(job.deadline - self._clock.now() + slack):
             await job.up.wait()
--- a/puffinford/core/jobs.py
+++ b/puffinford/core/jobs.py
@@ -6,7 +6,7 @@
 import anyio.abc
 
 from puffinford.core.delays import Unanswered
-from puffinford.core.values import Busy, Failed, Leg, Machine, Opening, SubmitterLeg
+from puffinford.core.values import Busy, ClientLeg, Failed, Leg, Machine, Opening
 from puffinford.hashing import stable_hash
 
 
@@ -28,16 +28,16 @@
 class Job:
     """One request, from its opening to the end of its connection."""
 
-    def __init__(self, opening: Opening, submitter: SubmitterLeg, deadline: float) -> None:
+    def __init__(self, opening: Opening, client: ClientLeg, deadline: float) -> None:
         self.opening = opening
-        self.submitter = submitter
+        self.client = client
         self.deadline = deadline
         self.tasks: anyio.abc.TaskGroup
         self.claim: Claim | None = None
         self.claims = 0
         self.up = anyio.Event()
         self.done = anyio.Event()
-        self.left = False  # the submitter has ended its side
+        self.left = False  # the client has ended its side
         self.ending: Ending | None = None
 
     @property
--- a/puffinford/core/relaying.py
+++ b/puffinford/core/relaying.py
@@ -11,7 +11,7 @@
 from puffinford.core.logger import log
 from puffinford.core.values import Broken, Ended, Failed, Kind, Leg, Message, Up
 
-HALF_CLOSED = 500.0  # how long a submitter that ended may still hear its server; the rules allow 1 s in all
+HALF_CLOSED = 500.0  # how long a client that ended may still hear its server; the rules allow 1 s in all
 
 
 class Relay:
@@ -22,16 +22,16 @@
         self._endings = endings
         self._delays = delays
 
-    # From the submitter
+    # From the client
 
     async def listen(self, job: Job) -> None:
-        """Pass on what the submitter sends; before UP only its leaving matters."""
+        """Pass on what the client sends; before UP only its leaving matters."""
         broken = False
         try:
             while True:
-                message = await job.submitter.receive()
+                message = await job.client.receive()
                 if not job.up.is_set():
-                    # Guards against commands sent at once: a submitter waits for its answer, and
+                    # Guards against commands sent at once: a client waits for its answer, and
                     # nothing but its opening may reach a server on its account.
                     self._endings.abandon(job, Ending(Failed("a line before UP")))
                     return
@@ -47,9 +47,9 @@
             pass
         except Broken:
             broken = True
-        await self._submitter_ended(job, broken)
+        await self._client_ended(job, broken)
 
-    async def _submitter_ended(self, job: Job, broken: bool) -> None:
+    async def _client_ended(self, job: Job, broken: bool) -> None:
         if job.ending is not None:
             return
         if not job.standing:
@@ -82,7 +82,7 @@
                 if job.ending is not None:
                     return
                 try:
-                    await job.submitter.send(last)
+                    await job.client.send(last)
                 except Broken:
                     return
         except Ended:
@@ -98,9 +98,9 @@
         log.info("up", extra={**told, "claims": claim.number + 1})
 
     async def _answer_up(self, job: Job, claim: Claim, up: Up) -> bool:
-        """Whether the submitter has taken its UP."""
+        """Whether the client has taken its UP."""
         try:
-            await job.submitter.answer(up)
+            await job.client.answer(up)
         except Broken:
             return False
         context = self._context
@@ -125,6 +125,6 @@
     if last is Kind.BYE and not broken:
         return it.Result.OK
     if (last is Kind.MOVE or job.left) and not broken:
-        # Guards a sound server against being taken for failed: it ended because its submitter had.
+        # Guards a sound server against being taken for failed: it ended because its client had.
         return it.Result.CANCELLED
     return it.Result.RESET
--- a/puffinford/core/silence.py
+++ b/puffinford/core/silence.py
@@ -8,7 +8,7 @@
 from puffinford.core.jobs import Claim, Ending, Job
 from puffinford.core.logger import log
 
-# A line unanswered this long. The rules allow a silent connection 7 s, and its submitter may have sent the
+# A line unanswered this long. The rules allow a silent connection 7 s, and its client may have sent the
 # line 2 s after it fell silent.
 SILENT = 3_500.0
 HUSH = 2_500.0  # a server from which nothing came this long, on any of its connections ...
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -28,12 +28,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Opening:
-    """What a submitter asks for. `figures` are all its named values in their order, `wait` (d) among them."""
+    """What a client asks for. `figures` are all its named values in their order, `wait` (d) among them."""
 
     job: str
     key: str
     cls: str
-    wait: float  # milliseconds that the submitter will wait for UP
+    wait: float  # milliseconds that the client will wait for UP
     tenant: str | None = None
     group: str | None = None
     retry: bool = False
@@ -72,7 +72,7 @@
 class Kind(Enum):
     DATA = "data"
     BYE = "bye"  # the server has served the connection to its end
-    MOVE = "move"  # the server sends its submitter away
+    MOVE = "move"  # the server sends its client away
     NOTE = "note"  # the server's note: which of the two the settings name
 
 
@@ -105,7 +105,7 @@
 @dataclass(frozen=True, slots=True)
 class Failed:
     reason: str = "failed"
-    late: bool = False  # the submitter's time was up
+    late: bool = False  # the client's time was up
 
 
 class Ended(Exception):
@@ -117,7 +117,7 @@
 
 
 class ClaimEnded(Exception):
-    """A claim ended without standing; `messages` are what the server sent for the submitter.
+    """A claim ended without standing; `messages` are what the server sent for the client.
 
     `report` is the load report beside the server's answer, as text; empty where there is none.
     """
@@ -179,7 +179,7 @@
         """Break the connection, so that the peer sees it broken."""
 
 
-class SubmitterLeg(Leg, Protocol):
+class ClientLeg(Leg, Protocol):
     async def left(self) -> bool:
         """Whether the client has ended or cancelled, as far as that has arrived, read or not."""
 
@@ -187,7 +187,7 @@
         """The one answer to the opening. Any but UP is the last of the connection, and `end` follows."""
 
     async def move(self) -> None:
-        """Tell the submitter to come back through the front."""
+        """Tell the client to come back through the front."""
 
 
 class ServerSide(Protocol):
--- a/puffinford/fronts/__init__.py
+++ b/puffinford/fronts/__init__.py
@@ -1,2 +1,2 @@
-"""The fronts: each has a submitter side, a server side and a codec. Any submitter side works with any
+"""The fronts: each has a client side, a server side and a codec. Any client side works with any
 server side, for they meet only in the exchange."""
--- a/puffinford/fronts/channels/submitter.py
+++ b/puffinford/fronts/channels/client.py
@@ -1,4 +1,4 @@
-"""The submitter side of the channel front: each channel that a submitter opens is one job."""
+"""The client side of the channel front: each channel that a client opens is one job."""
 
 from __future__ import annotations
 
@@ -14,10 +14,11 @@
 from puffinford.fronts.channels.opening import decode_opening
 from puffinford.fronts.sockets import Door, Wire
 
-log = logging.getLogger(__name__)
+# The name of before: operators find these lines by `from`.
+log = logging.getLogger("puffinford.fronts.channels.submitter")
 
 
-class ChannelSubmitters:
+class ChannelClients:
     def __init__(self, exchange: Exchange, door: Door) -> None:
         self._exchange = exchange
         self._door = door
--- a/puffinford/fronts/lines/submitter.py
+++ b/puffinford/fronts/lines/client.py
@@ -1,4 +1,4 @@
-"""The submitter side of the line front: takes connections and hands their jobs to the exchange."""
+"""The client side of the line front: takes connections and hands their jobs to the exchange."""
 
 from __future__ import annotations
 
@@ -12,7 +12,8 @@
 from puffinford.fronts.sockets import TURNED_FOR, Door, Wire
 from puffinford.logs import Seldom
 
-seldom = Seldom(logging.getLogger(__name__))
+# The name of before: operators find these lines by `from`.
+seldom = Seldom(logging.getLogger("puffinford.fronts.lines.submitter"))
 
 # A connection that has sent no whole line by then is ended. Bad clients must hear within 3 s, and sound ones
 # may write their line in pieces over 2 s.
@@ -20,7 +21,7 @@
 PINGS_IDLE = 10_000.0  # one that has sent PING may stay this long for the next
 
 
-class LineSubmitters:
+class LineClients:
     def __init__(self, exchange: Exchange, door: Door) -> None:
         self._exchange = exchange
         self._door = door
--- a/puffinford/fronts/lines/codec.py
+++ b/puffinford/fronts/lines/codec.py
@@ -35,7 +35,7 @@
 
 
 def decode_first(line: bytes) -> Opening | Ping:
-    """The first line of a submitter."""
+    """The first line of a client."""
     if len(line) > LINE_MOST:
         raise BadLine("line too long")
     text = _text(line)
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -17,10 +17,10 @@
 from puffinford.core.exchange import Exchange
 from puffinford.core.places import state_path
 from puffinford.core.values import ServerSide
+from puffinford.fronts.channels.client import ChannelClients
 from puffinford.fronts.channels.server import ChannelServers
-from puffinford.fronts.channels.submitter import ChannelSubmitters
+from puffinford.fronts.lines.client import LineClients
 from puffinford.fronts.lines.server import LineServers
-from puffinford.fronts.lines.submitter import LineSubmitters
 from puffinford.fronts.sockets import (
     ACCEPT_TURN,
     MGMT_MOST,
@@ -111,9 +111,9 @@
             assert config.discovery is not None
             unprompted = not config.settings.list_on_request
             self._list.watch(config.discovery, unprompted=unprompted, seed=config.seed)
-        clients = LineSubmitters(self._exchange, door)
+        clients = LineClients(self._exchange, door)
         self._lines = Front("lines", clients.handle, door, turn_away=clients.turn_away)
-        self._channels = Front("channels", ChannelSubmitters(self._exchange, door).handle, door)
+        self._channels = Front("channels", ChannelClients(self._exchange, door).handle, door)
         # Guards operators against crowds of clients: callers have descriptors of their own.
         callers = Door(clock, Budget(MGMT_MOST + 1, 0), part=1)
         path = state_path(config.state, config.name)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -24,11 +24,11 @@
 from puffinford.core.exchange import Exchange
 from puffinford.core.values import Machine, MachineList, Opening
 from puffinford.fronts.channels import codec
+from puffinford.fronts.channels.client import ChannelClients
 from puffinford.fronts.channels.opening import encode_opening
 from puffinford.fronts.channels.server import ChannelServers
-from puffinford.fronts.channels.submitter import ChannelSubmitters
+from puffinford.fronts.lines.client import LineClients
 from puffinford.fronts.lines.server import LineServers
-from puffinford.fronts.lines.submitter import LineSubmitters
 from puffinford.fronts.sockets import ACCEPT_TURN, MGMT_MOST, Budget, Door, Wire, accept_all, bind
 from puffinford.interface import Effect, RequestClass, Server, ServerState, Settings
 from puffinford.management.calls import Calls, Extra
@@ -223,7 +223,7 @@
 
     def channel_port(self) -> int:
         """Where a channel front listens."""
-        return self.front(ChannelSubmitters(self.exchange, self.door).handle)
+        return self.front(ChannelClients(self.exchange, self.door).handle)
 
     async def channel_client(self) -> ChannelPeer:
         port = self.channel_port()
@@ -233,7 +233,7 @@
         """Every client goes and every limit passes: then no request, leg or count may be left."""
         self.over = True
         for job in list(self.exchange._jobs.values()):
-            self.tasks.start_soon(job.submitter.abort)
+            self.tasks.start_soon(job.client.abort)
         backends = self.exchange._balancer.known.backends.values()
         for _ in range(200):
             await self.settle()
@@ -377,7 +377,7 @@
             tasks.start_soon(exchange.run, source)
             await anyio.wait_all_tasks_blocked()
             here = Stage(tasks, clock, exchange, Door(clock, budget), source)
-            clients = LineSubmitters(exchange, here.door)
+            clients = LineClients(exchange, here.door)
             here.port = here.front(clients.handle, turn_away=clients.turn_away)
             yield here
             if not tasks.cancel_scope.cancel_called:
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -120,7 +120,7 @@
 
 
 async def test_a_drain_that_arrives_while_a_channel_is_half_written() -> None:
-    """The line is finished before MOVE, however late the submitter makes room for it."""
+    """The line is finished before MOVE, however late the client makes room for it."""
     async with stage() as here:
         await here.server("s-1", answering(b"UP r1", b"0123456789", stay=True))
         client = await here.channel_client()
@@ -137,7 +137,7 @@
         assert [await client.next(), await client.next()] == [codec.Eof(3), codec.Close(3)]
 
 
-async def test_a_drain_of_the_server_reaches_its_submitters() -> None:
+async def test_a_drain_of_the_server_reaches_its_clients() -> None:
     async def script(peer: Peer) -> None:
         server = await ChannelPeer(peer.stream).hello()
         number = (await server.confirm()).sender
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,8 +23,8 @@
 from puffinford.fronts.channels import codec
 from puffinford.fronts.channels.opening import encode_opening
 from puffinford.fronts.channels.server import ChannelServers
+from puffinford.fronts.lines.client import FIRST_LINE, PINGS_IDLE
 from puffinford.fronts.lines.server import LineServers
-from puffinford.fronts.lines.submitter import FIRST_LINE, PINGS_IDLE
 from puffinford.interface import Effect, RequestClass, ServerState
 from tests.stage import ChannelPeer, Peer, Stage, discovery, echo, opening, program, settings, stage
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -262,7 +262,7 @@
         assert here.clock.now() - heard[0] < 4_500.0
 
 
-async def test_a_server_that_ends_because_its_submitter_has_is_not_taken_for_failed() -> None:
+async def test_a_server_that_ends_because_its_client_has_is_not_taken_for_failed() -> None:
     async with stage() as here:
         await here.server("s-1", echo)
         client = await here.client(opening())
