Name a request by its standard name in core and fronts

Job was the shop's own word for what the decision module already calls a request: the table and its entries are RequestTable and ClientRequest (core/requests), Opening and Note carry a request_id, RequestWatcher hears what becomes of requests. Giving up an attempt moves from the exchange's dispatch to Attempts. Behaviour is unchanged; log events and their keys (`job=`) stay, and so does the channel type on the wire.

--- a/puffinford/core/admission.py
+++ b/puffinford/core/admission.py
@@ -5,7 +5,7 @@
 from puffinford import interface as it
 from puffinford.core.clock import Clock
 from puffinford.core.endings import Endings
-from puffinford.core.jobs import Claim, Ending, Job
+from puffinford.core.requests import Claim, ClientRequest, Ending
 from puffinford.core.servers import ServerTable
 from puffinford.core.values import ClaimEnded
 
@@ -18,17 +18,17 @@
         self._servers = servers
         self._endings = endings
 
-    async def admit(self, job: Job, claim: Claim, until: float) -> None:
+    async def admit(self, request: ClientRequest, claim: Claim, until: float) -> None:
         """The last look before an attempt, and again before its first byte; raises ClaimEnded.
 
         Guards the server against a client that has gone, though its end may lie unread; against what the list
         or the operators have told since the choice, while the attempt waited or connected; and against a
         repeat later than the window in which the servers discard it (`until`).
         """
-        if await job.client.left() or job.ending is not None:
-            self._endings.abandon(job, Ending(broken=True))
+        if await request.client.left() or request.ending is not None:
+            self._endings.abandon(request, Ending(broken=True))
             raise ClaimEnded(it.Result.CANCELLED)
-        if job.opening.at is None and not self._servers.may_begin(claim.machine.server.id):
+        if request.opening.at is None and not self._servers.may_begin(claim.machine.server.id):
             raise ClaimEnded(it.Result.MOOT)
         if self._clock.now() >= until:
             raise ClaimEnded(it.Result.MOOT)
--- a/puffinford/core/answers.py
+++ b/puffinford/core/answers.py
@@ -1,4 +1,4 @@
-"""The final answer of a job, and the end of both its legs."""
+"""The final answer of a request, and the end of both its legs."""
 
 from __future__ import annotations
 
@@ -6,25 +6,25 @@
 
 from puffinford.core.context import Context
 from puffinford.core.figures import Count
-from puffinford.core.jobs import Ending, Job
 from puffinford.core.logger import log
+from puffinford.core.requests import ClientRequest, Ending
 from puffinford.core.values import Broken, Busy, ClientLeg, Failed, Opening
 
 MOVE_MOST = 800.0  # a client that takes no MOVE in this time is cut off
 
 
 class Answers:
-    """Gives final answers, and ends the connections of jobs that have come to their ending."""
+    """Gives final answers, and ends the connections of requests that have come to their ending."""
 
     def __init__(self, context: Context) -> None:
         self._context = context
 
     async def refuse(
-        self, client: ClientLeg, answer: Busy | Failed, opening: Opening, job: Job | None = None
+        self, client: ClientLeg, answer: Busy | Failed, opening: Opening, request: ClientRequest | None = None
     ) -> None:
         """Give the final answer, log it with its cause, and count it where it is one of a known class."""
         busy = isinstance(answer, Busy)
-        self._log(answer, opening, job)
+        self._log(answer, opening, request)
         try:
             await client.answer(answer)
         except Broken:
@@ -34,35 +34,35 @@
             self._context.figures.add(opening.cls, Count.REFUSED if busy else Count.FAILED)
         await client.end()
 
-    def _log(self, answer: Busy | Failed, opening: Opening, job: Job | None) -> None:
-        told: dict[str, object] = {"job": opening.job, "key": opening.key, "cls": opening.cls}
+    def _log(self, answer: Busy | Failed, opening: Opening, request: ClientRequest | None) -> None:
+        told: dict[str, object] = {"job": opening.request_id, "key": opening.key, "cls": opening.cls}
         told["tenant"] = opening.tenant or ""
         told["answer"], told["why"] = (
             ("busy", answer.why) if isinstance(answer, Busy) else ("failed", answer.reason)
         )
-        if job is not None:
-            told["claims"] = job.claims
-            told["waited_ms"] = round(self._context.clock.now() - job.deadline + opening.wait)
+        if request is not None:
+            told["claims"] = request.claims
+            told["waited_ms"] = round(self._context.clock.now() - request.deadline + opening.wait)
         log.info("answer", extra=told)
 
-    async def end_legs(self, job: Job) -> None:
-        """End both sides' connections as the job's ending says."""
-        ending = job.ending
+    async def end_legs(self, request: ClientRequest) -> None:
+        """End both sides' connections as the request's ending says."""
+        ending = request.ending
         assert ending is not None
-        server = job.claim.leg if job.claim is not None else None
+        server = request.claim.leg if request.claim is not None else None
         async with anyio.create_task_group() as tasks:
             if server is not None:
                 tasks.start_soon(server.abort if ending.broken or ending.answer else server.end)
-            await self._end_client(job, ending)
+            await self._end_client(request, ending)
 
-    async def _end_client(self, job: Job, ending: Ending) -> None:
-        client = job.client
+    async def _end_client(self, request: ClientRequest, ending: Ending) -> None:
+        client = request.client
         if ending.answer is not None:
             watcher = self._context.watcher
             if watcher is not None:
                 failed = not isinstance(ending.answer, Busy)
-                watcher.turned_away(job.key, job.opening.cls, failed=failed)
-            await self.refuse(client, ending.answer, job.opening, job)
+                watcher.turned_away(request.key, request.opening.cls, failed=failed)
+            await self.refuse(client, ending.answer, request.opening, request)
             return
         if ending.broken or (ending.move and not await self._move(client)):
             await client.abort()
--- a/puffinford/core/attempts.py
+++ b/puffinford/core/attempts.py
@@ -10,10 +10,10 @@
 from puffinford.core.context import Context
 from puffinford.core.endings import Endings
 from puffinford.core.figures import Count
-from puffinford.core.jobs import Claim, Ending, Job, number_of
 from puffinford.core.load_reports import LoadReports
 from puffinford.core.logger import log
 from puffinford.core.relaying import Relay
+from puffinford.core.requests import Claim, ClientRequest, Ending, number_of
 from puffinford.core.servers import ServerTable
 from puffinford.core.stall import StallWatch
 from puffinford.core.values import Broken, ClaimEnded, Failed, Message, ServerSide, Up
@@ -22,7 +22,7 @@
 
 
 class Attempts:
-    """Makes the attempts that the module decides on, one at a time for each job."""
+    """Makes the attempts that the module decides on, one at a time for each request."""
 
     def __init__(
         self,
@@ -46,122 +46,131 @@
 
     def start(self, action: it.Attempt) -> None:
         """Begin an attempt, or tell the module why there is none."""
-        job = self._context.jobs.get(action.id)
+        request = self._context.requests.get(action.id)
         number = 0
         result = it.Result.MOOT
-        if job is not None and job.ending is None:
-            number = job.claims
+        if request is not None and request.ending is None:
+            number = request.claims
             machine = self._servers.get(action.server)
-            if job.claim is not None:
-                log.error("second claim withheld", extra={"job": job.id, "server": action.server})
+            if request.claim is not None:
+                log.error("second claim withheld", extra={"job": request.id, "server": action.server})
             elif machine is None:
-                job.claims += 1
+                request.claims += 1
                 result = it.Result.CONNECT_FAILED
             else:
-                job.claims += 1
-                job.claim = Claim(machine, number, self._context.clock.now())
-                job.tasks.start_soon(self._run, job, job.claim, action.timeout, action.until)
+                request.claims += 1
+                request.claim = Claim(machine, number, self._context.clock.now())
+                request.tasks.start_soon(self._run, request, request.claim, action.timeout, action.until)
                 return
-        closed = job is None or job.ending is not None
+        closed = request is None or request.ending is not None
         self._context.tell(it.Outcome(action.id, number, action.server, result, 0.0, closed))
 
+    def cancel(self, action: it.Cancel) -> None:
+        """Give up an attempt, where it is the one that is out."""
+        request = self._context.requests.get(action.id)
+        claim = request.claim if request is not None else None
+        if claim is not None and claim.number == action.attempt:
+            claim.scope.cancel()
+
     async def _try(
-        self, job: Job, claim: Claim, wait: float, until: float = float("inf")
+        self, request: ClientRequest, claim: Claim, wait: float, until: float = float("inf")
     ) -> tuple[Up | None, ClaimEnded]:
         """One attempt, up or ended; cancelled it gives nothing back but its result."""
         ended = ClaimEnded(it.Result.CANCELLED)
         up = None
         with claim.scope:
             try:
-                if job.opening.at is None:
+                if request.opening.at is None:
                     await self._stall.trusted()
-                admit = partial(self._admission.admit, job, claim, until)
+                admit = partial(self._admission.admit, request, claim, until)
                 await admit()
                 side = self.sides[claim.machine.front]
-                sent = partial(self._sent, job, claim)
-                claim.leg, up = await side.claim(claim.machine, job.opening, wait, admit, sent)
+                sent = partial(self._sent, request, claim)
+                claim.leg, up = await side.claim(claim.machine, request.opening, wait, admit, sent)
             except ClaimEnded as exc:
                 ended = exc
         return up, ended
 
-    def _sent(self, job: Job, claim: Claim) -> None:
+    def _sent(self, request: ClientRequest, claim: Claim) -> None:
         claim.sent = True
-        self._context.figures.add(job.opening.cls, Count.ATTEMPTS)
+        self._context.figures.add(request.opening.cls, Count.ATTEMPTS)
 
-    async def _run(self, job: Job, claim: Claim, timeout: float, until: float) -> None:
-        left = job.deadline - claim.started
-        up, ended = await self._try(job, claim, min(timeout, left) if timeout > 0 else left, until)
-        if job.ending is not None and claim.leg is not None:
+    async def _run(self, request: ClientRequest, claim: Claim, timeout: float, until: float) -> None:
+        left = request.deadline - claim.started
+        up, ended = await self._try(request, claim, min(timeout, left) if timeout > 0 else left, until)
+        if request.ending is not None and claim.leg is not None:
             # Guards the one final answer: UP came in the turn in which another was given, or the client left.
-            # The leg ends with the job, and the module has heard that its client is gone.
+            # The leg ends with the request, and the module has heard that its client is gone.
             return
         latency = self._context.clock.now() - claim.started
         if up is None:
-            await self._ended(job, claim, ended, latency)
+            await self._ended(request, claim, ended, latency)
             return
-        self._context.tell(it.Established(job.id, claim.number, claim.machine.server.id, latency))
-        await self._relay.run(job, claim, up)
+        self._context.tell(it.Established(request.id, claim.number, claim.machine.server.id, latency))
+        await self._relay.run(request, claim, up)
 
-    async def _ended(self, job: Job, claim: Claim, ended: ClaimEnded, latency: float) -> None:
+    async def _ended(self, request: ClientRequest, claim: Claim, ended: ClaimEnded, latency: float) -> None:
         """An attempt that did not come to stand."""
-        job.claim = None
-        self._log_ended(job, claim, ended, latency)
-        served = ended.result is it.Result.OK and job.ending is None
+        request.claim = None
+        self._log_ended(request, claim, ended, latency)
+        served = ended.result is it.Result.OK and request.ending is None
         if served:
             # Served to its end before it ever stood: what the server sent is the answer, and the only one.
-            job.ending = Ending()
-            await self._pass_all(job, ended.messages)
-        closed = job.ending is not None
+            request.ending = Ending()
+            await self._pass_all(request, ended.messages)
+        closed = request.ending is not None
         server = claim.machine.server.id
         report = self._reports.of_answer(server, ended.report)
-        self._context.tell(it.Outcome(job.id, claim.number, server, ended.result, latency, closed, report))
+        self._context.tell(
+            it.Outcome(request.id, claim.number, server, ended.result, latency, closed, report)
+        )
         if served:
-            job.done.set()
+            request.done.set()
 
-    def _log_ended(self, job: Job, claim: Claim, ended: ClaimEnded, latency: float) -> None:
+    def _log_ended(self, request: ClientRequest, claim: Claim, ended: ClaimEnded, latency: float) -> None:
         server = claim.machine.server.id
-        told = {"job": job.id, "server": server, "result": ended.result.value, "number": claim.number}
+        told = {"job": request.id, "server": server, "result": ended.result.value, "number": claim.number}
         if ended.result is it.Result.ERROR:
-            told["figures"] = str(job.opening.figures)[:300]  # the opening may be at fault
+            told["figures"] = str(request.opening.figures)[:300]  # the opening may be at fault
         log.info("claim ended", extra={**told, "ms": round(latency, 1)})
 
-    async def _pass_all(self, job: Job, messages: tuple[Message, ...]) -> None:
+    async def _pass_all(self, request: ClientRequest, messages: tuple[Message, ...]) -> None:
         try:
             for message in messages:
-                await job.client.send(message)
-            self._context.figures.add(job.opening.cls, Count.SERVED)
+                await request.client.send(message)
+            self._context.figures.add(request.opening.cls, Count.SERVED)
         except Broken:
             pass
 
-    async def resume(self, job: Job, ident: str) -> None:
+    async def resume(self, request: ClientRequest, ident: str) -> None:
         """A connection that stood at a server before the run: only that server can take it."""
         while True:
             machine = self._servers.get(ident)
-            left = job.deadline - self._context.clock.now()
+            left = request.deadline - self._context.clock.now()
             if machine is None or left <= 0:
-                told = {"job": job.id, "server": ident, "known": machine is not None}
+                told = {"job": request.id, "server": ident, "known": machine is not None}
                 log.warning("not resumed", extra=told)
-                self._endings.finish(job.id, Ending(Failed("cannot be resumed")))
+                self._endings.finish(request.id, Ending(Failed("cannot be resumed")))
                 return
-            claim = job.claim = Claim(machine, 0, self._context.clock.now())
-            up, ended = await self._try(job, claim, left)
+            claim = request.claim = Claim(machine, 0, self._context.clock.now())
+            up, ended = await self._try(request, claim, left)
             if up is not None:
-                self._context.tell(it.Inherited(request_of(job), ident))
-                await self._relay.run(job, claim, up)
+                self._context.tell(it.Inherited(request_of(request), ident))
+                await self._relay.run(request, claim, up)
                 return
-            job.claim = None
-            log.info("claim ended", extra={"job": job.id, "server": ident, "result": ended.result.value})
+            request.claim = None
+            log.info("claim ended", extra={"job": request.id, "server": ident, "result": ended.result.value})
             if ended.result not in (it.Result.FULL, it.Result.CONNECT_FAILED):
-                self._endings.finish(job.id, Ending(Failed("cannot be resumed")))
+                self._endings.finish(request.id, Ending(Failed("cannot be resumed")))
                 return
             await self._context.clock.sleep(AT_RETRY * (0.5 + self._context.rng.random()))
 
 
-def request_of(job: Job) -> it.Request:
-    """A job as the decision module sees it."""
-    opening = job.opening
+def request_of(request: ClientRequest) -> it.Request:
+    """A request as the decision module sees it."""
+    opening = request.opening
     return it.Request(
-        job.id,
+        request.id,
         opening.cls,
         opening.wait,
         opening.tenant,
@@ -170,5 +179,5 @@
         None if opening.group is None else number_of(opening.group),
         False,
         opening.load,
-        job.key,
+        request.key,
     )
--- a/puffinford/core/context.py
+++ b/puffinford/core/context.py
@@ -9,13 +9,13 @@
 from puffinford import interface as it
 from puffinford.core.clock import Clock
 from puffinford.core.figures import Figures
-from puffinford.core.jobs import JobTable
-from puffinford.core.values import JobWatcher
+from puffinford.core.requests import RequestTable
+from puffinford.core.values import RequestWatcher
 
 
 @dataclass(slots=True)
 class Context:
-    """The clock, the settings in force, the job table and the way to the decision module.
+    """The clock, the settings in force, the request table and the way to the decision module.
 
     `settings` and `watcher` change while the process runs: a part reads them here and keeps neither.
     """
@@ -25,8 +25,8 @@
     rng: random.Random
     tell: Callable[[it.Event], None]  # tells the decision module, and has its actions carried out
     figures: Figures = field(default_factory=Figures)
-    jobs: JobTable = field(default_factory=JobTable)
-    watcher: JobWatcher | None = None
+    requests: RequestTable = field(default_factory=RequestTable)
+    watcher: RequestWatcher | None = None
     classes: frozenset[str] = frozenset()  # the names of those in `settings`
 
     def configure(self, settings: it.Settings) -> None:
--- a/puffinford/core/decisions.py
+++ b/puffinford/core/decisions.py
@@ -32,7 +32,7 @@
                 try:
                     actions = self._balancer.handle(self._clock.now(), batch)
                 except Exception:
-                    # Guards the standing connections against a fault in a decision: the job it was
+                    # Guards the standing connections against a fault in a decision: the request it was
                     # about is answered by its own time limit.
                     log.exception("decision failed", extra={"events": repr(batch)[:300]})
                     continue
--- a/puffinford/core/delay_watch.py
+++ b/puffinford/core/delay_watch.py
@@ -5,9 +5,9 @@
 from puffinford import interface as it
 from puffinford.core.context import Context
 from puffinford.core.delays import DelayMeter
-from puffinford.core.jobs import Claim
 from puffinford.core.logger import log
 from puffinford.core.notes import NoteKinds
+from puffinford.core.requests import Claim
 
 
 class DelayWatch:
@@ -22,7 +22,7 @@
         aims = (cls.message_aim for cls in self._context.settings.classes if cls.message_aim > 0)
         shortest = min(aims, default=0.0)
         self._meter = DelayMeter(shortest)
-        self._notes = NoteKinds(shortest, self._context.jobs.stands)
+        self._notes = NoteKinds(shortest, self._context.requests.stands)
 
     def answered(self, claim: Claim) -> None:
         """A message came from the server, and answers the oldest line that waits."""
@@ -30,7 +30,7 @@
         if delay is not None:
             self._meter.sample(claim.machine.server.id, delay)
 
-    def note(self, job: str, server: str, value: float) -> None:
+    def note(self, request_id: str, server: str, value: float) -> None:
         """A server's note. The line is one for both kinds; the settings say which a server sends.
 
         Guards against taking milliseconds of delay for a load: where only delays are told, a note
@@ -39,29 +39,29 @@
         settings = self._context.settings
         delay: bool | None = settings.tells_delay
         if delay and settings.tells_load:
-            delay = self._notes.take(job, server, value, self._context.clock.now())
+            delay = self._notes.take(request_id, server, value, self._context.clock.now())
         if delay:
-            self._tell_delay(job, server, value, "note")
+            self._tell_delay(request_id, server, value, "note")
         elif delay is False and settings.tells_load:
-            self._context.tell(it.LoadNote(job, server, value))
+            self._context.tell(it.LoadNote(request_id, server, value))
 
     def round(self) -> None:
         """Once a second: the notes of slow messages that the sockets themselves give."""
         now = self._context.clock.now()
         for note in self._notes.due(now):
-            self._context.tell(it.LoadNote(note.job, note.server, note.value))
+            self._context.tell(it.LoadNote(note.request_id, note.server, note.value))
         waiting = []
         carriers: dict[str, str] = {}
-        for job, claim in self._context.jobs.standing():
+        for request, claim in self._context.requests.standing():
             ident = claim.machine.server.id
-            carriers.setdefault(ident, job.id)
+            carriers.setdefault(ident, request.id)
             waiting.append((ident, claim.unanswered.age(now)))
         for ident, delay in self._meter.round(waiting):
             if ident in carriers:
                 self._tell_delay(carriers[ident], ident, delay, "measure")
 
-    def _tell_delay(self, job: str, server: str, delay: float, source: str) -> None:
+    def _tell_delay(self, request_id: str, server: str, delay: float, source: str) -> None:
         log.info("slow", extra={"server": server, "ms": round(delay, 1), "by": source})
         if self._context.watcher is not None:
             self._context.watcher.late(server, delay)
-        self._context.tell(it.DelayNote(job, server, delay))
+        self._context.tell(it.DelayNote(request_id, server, delay))
--- a/puffinford/core/drain.py
+++ b/puffinford/core/drain.py
@@ -6,12 +6,12 @@
 from puffinford.balance import Balancer
 from puffinford.core.context import Context
 from puffinford.core.endings import Endings
-from puffinford.core.jobs import Ending
 from puffinford.core.logger import log
+from puffinford.core.requests import Ending
 from puffinford.core.values import Busy, Failed
 
 TURN_MOST = 100.0  # ms between two moves, for arrivals come to stand meanwhile
-LAST_LOOK = 20.0  # ms between looks for jobs whose legs are still ending
+LAST_LOOK = 20.0  # ms between looks for requests whose legs are still ending
 
 
 class Drain:
@@ -29,27 +29,27 @@
         await self._move_evenly(over)
         self.leaving = True
         self._end_rest()
-        while self._context.jobs:
+        while self._context.requests:
             await self._context.clock.sleep(LAST_LOOK)
 
     async def _move_evenly(self, over: float) -> None:
         clock = self._context.clock
         end = clock.now() + over
-        log.info("drain", extra={"standing": len(self._context.jobs.standing())})
+        log.info("drain", extra={"standing": len(self._context.requests.standing())})
         while (left := end - clock.now()) > 0:
-            standing = self._context.jobs.standing()
+            standing = self._context.requests.standing()
             if standing:
-                job, _ = self._context.rng.choice(standing)
-                self._endings.close(job, Ending(move=True), it.Result.CANCELLED)
+                request, _ = self._context.rng.choice(standing)
+                self._endings.close(request, Ending(move=True), it.Result.CANCELLED)
             await clock.sleep(min(left, max(1.0, left / (len(standing) + 1)), TURN_MOST))
 
     def _end_rest(self) -> None:
-        for job in list(self._context.jobs.values()):
-            if job.standing:
-                self._endings.close(job, Ending(move=True), it.Result.CANCELLED)
-            elif self._balancer.harmless(job.id, job.claim is not None and job.claim.sent):
+        for request in list(self._context.requests.values()):
+            if request.standing:
+                self._endings.close(request, Ending(move=True), it.Result.CANCELLED)
+            elif self._balancer.harmless(request.id, request.claim is not None and request.claim.sent):
                 retry_after = self._context.settings.max_retry_after
-                self._endings.abandon(job, Ending(Busy(retry_after, "leaving")))
+                self._endings.abandon(request, Ending(Busy(retry_after, "leaving")))
             else:
                 # Guards an effect against happening twice: a refusal says that trying again is harmless.
-                self._endings.abandon(job, Ending(Failed("leaving")))
+                self._endings.abandon(request, Ending(Failed("leaving")))
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -1,7 +1,7 @@
 """The exchange: the only place where client side and server side meet.
 
 It takes each request, tells the decision module what happens, and has what the module decides carried out by
-its parts, each in a module of its own. A job gets one final answer, and never has two claims out. Neither
+its parts, each in a module of its own. A request gets one final answer, and never has two claims out. Neither
 bytes nor fronts are known here.
 """
 
@@ -24,11 +24,11 @@
 from puffinford.core.delay_watch import DelayWatch
 from puffinford.core.drain import Drain
 from puffinford.core.endings import Endings
-from puffinford.core.jobs import Ending, Job
 from puffinford.core.load_reports import LoadReports
 from puffinford.core.logger import log
 from puffinford.core.probes import Probes
 from puffinford.core.relaying import Relay
+from puffinford.core.requests import ClientRequest, Ending
 from puffinford.core.servers import ServerTable
 from puffinford.core.silence import SilenceWatch
 from puffinford.core.stall import WATCH, StallWatch
@@ -36,10 +36,10 @@
     Busy,
     ClientLeg,
     Failed,
-    JobWatcher,
     MachineList,
     MachineSource,
     Opening,
+    RequestWatcher,
     Restored,
     ServerSide,
 )
@@ -65,7 +65,7 @@
         context.configure(settings)
         self._context = context
         self.figures = context.figures
-        self._jobs = context.jobs
+        self._requests = context.requests
         self._servers = ServerTable(context)
         self._stall = StallWatch(clock)
         self._reports = LoadReports(context)
@@ -90,7 +90,7 @@
         self._tasks: anyio.abc.TaskGroup
 
     async def run(self, source: MachineSource, restored: Restored | None = None) -> None:
-        """Serve until cancelled. Jobs may come once this has started.
+        """Serve until cancelled. Requests may come once this has started.
 
         `restored` is what there is to go by until the source has spoken.
         """
@@ -121,19 +121,19 @@
                 self._delays.round()
 
     def configure(self, settings: it.Settings) -> None:
-        """Go on under other settings; jobs and all that is known of the servers stay."""
+        """Go on under other settings; requests and all that is known of the servers stay."""
         if settings != self._context.settings:
             self._context.configure(settings)
             self._delays.configure()
             self._balancer.configure(settings)
 
     @property
-    def watcher(self) -> JobWatcher | None:
-        """Who hears what becomes of jobs."""
+    def watcher(self) -> RequestWatcher | None:
+        """Who hears what becomes of requests."""
         return self._context.watcher
 
     @watcher.setter
-    def watcher(self, watcher: JobWatcher | None) -> None:
+    def watcher(self, watcher: RequestWatcher | None) -> None:
         self._context.watcher = watcher
 
     @property
@@ -150,7 +150,7 @@
         """What stands now; what is left out is the module's word."""
         excluded = self._balancer.known.excluded(self._clock.now())
         return {
-            "in_flight": len(self._jobs),
+            "in_flight": len(self._requests),
             "servers_known": len(self._servers),
             "servers_excluded": len(excluded & self._servers.ids),
         }
@@ -175,9 +175,9 @@
         now = self._clock.now()
         told = []
         for flow in self._balancer.known.standing(server, most):
-            job = self._jobs.get(flow.id)
-            if job is not None and job.standing and job.claim is not None:
-                told.append((flow, job.claim.unanswered.age(now) == 0.0))
+            request = self._requests.get(flow.id)
+            if request is not None and request.standing and request.claim is not None:
+                told.append((flow, request.claim.unanswered.age(now) == 0.0))
         return told
 
     def advise(self, ident: str) -> str | None:
@@ -187,8 +187,8 @@
     def relocate(self, ident: str, server: str, hold: float) -> bool:
         """Move a connection, with a place kept for so many ms; tells whether it no longer stands."""
         self._tell(it.Relocate(ident, server, hold))
-        job = self._jobs.get(ident)
-        return job is None or job.ending is not None
+        request = self._requests.get(ident)
+        return request is None or request.ending is not None
 
     def favour(self, servers: frozenset[str]) -> None:
         """Clients that come back are sent to these servers first, until the next call."""
@@ -229,13 +229,11 @@
             case it.Fail():
                 self._endings.finish(action.id, Ending(Failed(action.why.value)))
             case it.Cancel():
-                job = self._jobs.get(action.id)
-                if job is not None and job.claim is not None and job.claim.number == action.attempt:
-                    job.claim.scope.cancel()
+                self._attempts.cancel(action)
             case it.Move():
-                job = self._jobs.get(action.id)
-                if job is not None and job.standing:
-                    self._endings.close(job, Ending(move=True), it.Result.CANCELLED)
+                request = self._requests.get(action.id)
+                if request is not None and request.standing:
+                    self._endings.close(request, Ending(move=True), it.Result.CANCELLED)
             case it.SetTimer():
                 self._tasks.start_soon(self._timer, action)
             case it.Subscribe():
@@ -255,59 +253,61 @@
         await self._clock.sleep(action.delay)
         self._tell(it.Timer(action.token))
 
-    # Jobs
+    # Requests
 
     async def serve(self, opening: Opening, client: ClientLeg, room: bool = True) -> None:
-        """Serve one job to its end. Exactly one final answer goes to the client.
+        """Serve one request to its end. Exactly one final answer goes to the client.
 
         Without `room` for its connections that is a refusal at once.
         """
         refusal = self._refusal(opening, room)
         if refusal is not None:
             return await self._answers.refuse(client, refusal, opening)
-        job = self._jobs[opening.job] = Job(opening, client, self._clock.now() + opening.wait)
+        deadline = self._clock.now() + opening.wait
+        request = ClientRequest(opening, client, deadline)
+        self._requests[request.id] = request
         try:
-            await self._serve(job)
+            await self._serve(request)
         except Exception:
             # Guards the one final answer, and the module's counts, against a fault in a side.
-            log.exception("job failed", extra={"job": job.id})
-            self._endings.fault(job)
+            log.exception("job failed", extra={"job": request.id})
+            self._endings.fault(request)
         finally:
-            del self._jobs[job.id]
-        await self._answers.end_legs(job)
+            del self._requests[request.id]
+        await self._answers.end_legs(request)
 
     def _refusal(self, opening: Opening, room: bool) -> Busy | Failed | None:
         """The answer to an opening that is not taken at all."""
         if opening.cls not in self._context.classes:
             return Failed("unknown class")
-        if opening.job in self._jobs:
+        if opening.request_id in self._requests:
             return Failed("id in use")
         if self._drain.leaving or not room:
             why = "leaving" if self._drain.leaving else "no room"
             return Busy(self._context.settings.max_retry_after, why)
         return None
 
-    async def _serve(self, job: Job) -> None:
+    async def _serve(self, request: ClientRequest) -> None:
         async with anyio.create_task_group() as tasks:
-            job.tasks = tasks
-            tasks.start_soon(self._relay.listen, job)
-            if job.opening.at is not None:
-                tasks.start_soon(self._attempts.resume, job, job.opening.at)
+            request.tasks = tasks
+            tasks.start_soon(self._relay.listen, request)
+            if request.opening.at is not None:
+                tasks.start_soon(self._attempts.resume, request, request.opening.at)
             else:
-                tasks.start_soon(self._guard, job)
-                self._tell(request_of(job))
-            await job.done.wait()
+                tasks.start_soon(self._guard, request)
+                self._tell(request_of(request))
+            await request.done.wait()
             tasks.cancel_scope.cancel()
 
-    async def _guard(self, job: Job) -> None:
-        """Answer a job that the module has left without one, while its client still listens."""
+    async def _guard(self, request: ClientRequest) -> None:
+        """Answer a request that the module has left without one, while its client still listens."""
         slack = self._context.settings.answer_slack + GUARD_AFTER
-        with self._clock.limit(job.deadline - self._clock.now() + slack):
-            await job.up.wait()
+        with self._clock.limit(request.deadline - self._clock.now() + slack):
+            await request.up.wait()
             return
-        if job.ending is None and not job.standing:
-            log.error("unanswered", extra={"job": job.id})
-            self._endings.abandon(job, Ending(Failed("out of time", late=True)))
+        if request.ending is None and not request.standing:
+            log.error("unanswered", extra={"job": request.id})
+            self._endings.abandon(request, Ending(Failed("out of time", late=True)))
 
     async def drain(self, settle: float, over: float) -> None:
         """Move every standing connection, spread evenly; arrivals are served meanwhile."""
--- a/puffinford/core/figures.py
+++ b/puffinford/core/figures.py
@@ -1,4 +1,4 @@
-"""The one register of what jobs came to, by class, from the start of the process."""
+"""The one register of what requests came to, by class, from the start of the process."""
 
 from __future__ import annotations
 
--- a/puffinford/core/notes.py
+++ b/puffinford/core/notes.py
@@ -21,7 +21,7 @@
 class Note:
     """A line that may be either, and is held until the next second tells."""
 
-    job: str
+    request_id: str
     server: str
     value: float
     at: float
@@ -35,21 +35,21 @@
     """
 
     def __init__(self, shortest_aim: float, stands: Callable[[str], bool]) -> None:
-        """`shortest_aim` is of messages, in ms; `stands` tells whether a job's connection is still there."""
+        """`shortest_aim` is of messages, in ms; `stands` tells whether a request's connection stands."""
         self._from = shortest_aim / 3.0
         self._stands = stands
         self._rows: dict[str, Note] = {}  # the latest note of delay of each server
         self._held: dict[str, list[Note]] = {}  # those that may begin a row, by server
 
-    def take(self, job: str, server: str, value: float, now: float) -> bool | None:
+    def take(self, request_id: str, server: str, value: float, now: float) -> bool | None:
         """Whether a note is one of delay (True) or of load (False); None where it is held until `due`."""
-        note = Note(job, server, value, now)
+        note = Note(request_id, server, value, now)
         row = self._rows.get(server)
         if row is not None and now <= row.at + 2.0 * EVERY + SPARE:
             if self._follows(row, note, 2):
                 self._rows[server] = note
                 return True
-            if self._stands(row.job):
+            if self._stands(row.request_id):
                 return False  # a server has one row at a balancer
         held = self._held.get(server, [])
         for earlier in held:
@@ -83,4 +83,4 @@
         if not 1 <= steps <= most or late > SPARE or note.value > earlier.value + steps * GROWTH:
             return False
         # A row stays on its connection while that stands, which two loads that come by chance do not.
-        return note.job == earlier.job or not self._stands(earlier.job)
+        return note.request_id == earlier.request_id or not self._stands(earlier.request_id)
--- a/puffinford/core/relaying.py
+++ b/puffinford/core/relaying.py
@@ -7,15 +7,15 @@
 from puffinford.core.delay_watch import DelayWatch
 from puffinford.core.endings import Endings
 from puffinford.core.figures import Count
-from puffinford.core.jobs import Claim, Ending, Job
 from puffinford.core.logger import log
+from puffinford.core.requests import Claim, ClientRequest, Ending
 from puffinford.core.values import Broken, Ended, Failed, Kind, Leg, Message, Up
 
 HALF_CLOSED = 500.0  # how long a client that ended may still hear its server; the rules allow 1 s in all
 
 
 class Relay:
-    """Passes messages on between the two legs of a job until one of them ends."""
+    """Passes messages on between the two legs of a request until one of them ends."""
 
     def __init__(self, context: Context, endings: Endings, delays: DelayWatch) -> None:
         self._context = context
@@ -24,18 +24,18 @@
 
     # From the client
 
-    async def listen(self, job: Job) -> None:
+    async def listen(self, request: ClientRequest) -> None:
         """Pass on what the client sends; before UP only its leaving matters."""
         broken = False
         try:
             while True:
-                message = await job.client.receive()
-                if not job.up.is_set():
+                message = await request.client.receive()
+                if not request.up.is_set():
                     # Guards against commands sent at once: a client waits for its answer, and
                     # nothing but its opening may reach a server on its account.
-                    self._endings.abandon(job, Ending(Failed("a line before UP")))
+                    self._endings.abandon(request, Ending(Failed("a line before UP")))
                     return
-                claim = job.claim
+                claim = request.claim
                 if claim is None or claim.leg is None:
                     return
                 claim.unanswered.sent(self._context.clock.now())
@@ -47,84 +47,84 @@
             pass
         except Broken:
             broken = True
-        await self._client_ended(job, broken)
+        await self._client_ended(request, broken)
 
-    async def _client_ended(self, job: Job, broken: bool) -> None:
-        if job.ending is not None:
+    async def _client_ended(self, request: ClientRequest, broken: bool) -> None:
+        if request.ending is not None:
             return
-        if not job.standing:
-            self._endings.abandon(job, Ending(broken=True))
+        if not request.standing:
+            self._endings.abandon(request, Ending(broken=True))
             return
-        if not broken and job.claim is not None and job.claim.leg is not None:
-            job.left = True
+        if not broken and request.claim is not None and request.claim.leg is not None:
+            request.left = True
             try:
-                await job.claim.leg.end_sending()
+                await request.claim.leg.end_sending()
                 await self._context.clock.sleep(HALF_CLOSED)
             except Broken:
                 pass
-        self._endings.close(job, Ending(broken=broken), it.Result.CANCELLED)
+        self._endings.close(request, Ending(broken=broken), it.Result.CANCELLED)
 
     # From the server
 
-    async def run(self, job: Job, claim: Claim, up: Up) -> None:
+    async def run(self, request: ClientRequest, claim: Claim, up: Up) -> None:
         """Answer UP, then pass on what the server sends until it ends."""
         leg = claim.leg
         assert leg is not None
-        self._log_up(job, claim)
+        self._log_up(request, claim)
         last = Message(b"")
         broken = False
-        job.up.set()
+        request.up.set()
         try:
-            if not await self._answer_up(job, claim, up):
+            if not await self._answer_up(request, claim, up):
                 return  # the listener hears it too
             while True:
-                last = await self._next(job, claim, leg)
-                if job.ending is not None:
+                last = await self._next(request, claim, leg)
+                if request.ending is not None:
                     return
                 try:
-                    await job.client.send(last)
+                    await request.client.send(last)
                 except Broken:
                     return
         except Ended:
             pass
         except Broken:
             broken = True
-        self._endings.close(job, Ending(broken=broken), _result(job, last.kind, broken), last.report)
+        self._endings.close(request, Ending(broken=broken), _result(request, last.kind, broken), last.report)
 
-    def _log_up(self, job: Job, claim: Claim) -> None:
-        opening = job.opening
+    def _log_up(self, request: ClientRequest, claim: Claim) -> None:
+        opening = request.opening
         server = claim.machine.server.id
-        told = {"job": job.id, "key": opening.key, "group": opening.group or "", "server": server}
+        told = {"job": request.id, "key": opening.key, "group": opening.group or "", "server": server}
         log.info("up", extra={**told, "claims": claim.number + 1})
 
-    async def _answer_up(self, job: Job, claim: Claim, up: Up) -> bool:
+    async def _answer_up(self, request: ClientRequest, claim: Claim, up: Up) -> bool:
         """Whether the client has taken its UP."""
         try:
-            await job.client.answer(up)
+            await request.client.answer(up)
         except Broken:
             return False
         context = self._context
-        context.figures.add(job.opening.cls, Count.SERVED)
+        context.figures.add(request.opening.cls, Count.SERVED)
         if context.watcher is not None:
-            set_up = context.clock.now() - (job.deadline - job.opening.wait)
-            context.watcher.came_up(job.key, job.opening.cls, claim.machine.server.id, set_up)
+            set_up = context.clock.now() - (request.deadline - request.opening.wait)
+            context.watcher.came_up(request.key, request.opening.cls, claim.machine.server.id, set_up)
         return True
 
-    async def _next(self, job: Job, claim: Claim, leg: Leg) -> Message:
+    async def _next(self, request: ClientRequest, claim: Claim, leg: Leg) -> Message:
         message = await leg.receive()
         if message.kind is Kind.NOTE:
             claim.unanswered.heard(self._context.clock.now())
-            self._delays.note(job.id, claim.machine.server.id, message.note)
+            self._delays.note(request.id, claim.machine.server.id, message.note)
         else:
             self._delays.answered(claim)
         return message
 
 
-def _result(job: Job, last: Kind, broken: bool) -> it.Result:
+def _result(request: ClientRequest, last: Kind, broken: bool) -> it.Result:
     """What a server's end says of it, by the last message that it sent."""
     if last is Kind.BYE and not broken:
         return it.Result.OK
-    if (last is Kind.MOVE or job.left) and not broken:
+    if (last is Kind.MOVE or request.left) and not broken:
         # Guards a sound server against being taken for failed: it ended because its client had.
         return it.Result.CANCELLED
     return it.Result.RESET
--- a/puffinford/core/jobs.py
+++ b/puffinford/core/requests.py
@@ -1,4 +1,4 @@
-"""The job table: one entry a request, from its opening to the end of its connection."""
+"""The request table: one entry for each request, from its opening to the end of its connection."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
         self.unanswered = Unanswered()
 
 
-class Job:
+class ClientRequest:
     """One request, from its opening to the end of its connection."""
 
     def __init__(self, opening: Opening, client: ClientLeg, deadline: float) -> None:
@@ -42,7 +42,7 @@
 
     @property
     def id(self) -> str:
-        return self.opening.job
+        return self.opening.request_id
 
     @property
     def key(self) -> int:
@@ -55,7 +55,7 @@
 
 
 class Ending:
-    """How a job ends: an answer, or what happens to both legs of a connection that stood."""
+    """How a request ends: an answer, or what happens to both legs of a connection that stood."""
 
     __slots__ = ("answer", "broken", "move")
 
@@ -67,17 +67,21 @@
         self.move = move
 
 
-class JobTable(dict[str, Job]):
-    """The jobs that are served now, by id."""
+class RequestTable(dict[str, ClientRequest]):
+    """The requests that are served now, by id."""
 
-    def standing(self) -> list[tuple[Job, Claim]]:
-        """The jobs whose connections stand, each with the claim that does."""
-        return [(job, job.claim) for job in self.values() if job.standing and job.claim is not None]
+    def standing(self) -> list[tuple[ClientRequest, Claim]]:
+        """The requests whose connections stand, each with the claim that does."""
+        return [
+            (request, request.claim)
+            for request in self.values()
+            if request.standing and request.claim is not None
+        ]
 
     def stands(self, ident: str) -> bool:
-        """Whether there is such a job and its connection stands."""
-        job = self.get(ident)
-        return job is not None and job.standing
+        """Whether there is such a request and its connection stands."""
+        request = self.get(ident)
+        return request is not None and request.standing
 
 
 def number_of(text: str) -> int:
--- a/puffinford/core/silence.py
+++ b/puffinford/core/silence.py
@@ -5,8 +5,8 @@
 from puffinford import interface as it
 from puffinford.core.context import Context
 from puffinford.core.endings import Endings
-from puffinford.core.jobs import Claim, Ending, Job
 from puffinford.core.logger import log
+from puffinford.core.requests import Claim, ClientRequest, Ending
 
 # A line unanswered this long. The rules allow a silent connection 7 s, and its client may have sent the
 # line 2 s after it fell silent.
@@ -25,16 +25,16 @@
     def move_silent(self) -> None:
         """Guards against a server that vanished, or stopped on one connection: these stay open, and quiet."""
         now = self._context.clock.now()
-        standing = self._context.jobs.standing()
+        standing = self._context.requests.standing()
         hushed = self._hushed(standing, now)
-        for job, claim in standing:
+        for request, claim in standing:
             silence = claim.unanswered.silence(now)
             ident = claim.machine.server.id
             if silence > SILENT or ident in hushed:
-                log.warning("silent", extra={"job": job.id, "server": ident, "ms": round(silence)})
-                self._endings.close(job, Ending(move=True), it.Result.RESET)
+                log.warning("silent", extra={"job": request.id, "server": ident, "ms": round(silence)})
+                self._endings.close(request, Ending(move=True), it.Result.RESET)
 
-    def _hushed(self, standing: list[tuple[Job, Claim]], now: float) -> set[str]:
+    def _hushed(self, standing: list[tuple[ClientRequest, Claim]], now: float) -> set[str]:
         """The servers that have vanished, as their connections tell together.
 
         Guards the clients that have sent nothing of late: each alone would find out seconds later.
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -30,7 +30,7 @@
 class Opening:
     """What a client asks for. `figures` are all its named values in their order, `wait` (d) among them."""
 
-    job: str
+    request_id: str  # the client's own id for it
     key: str
     cls: str
     wait: float  # milliseconds that the client will wait for UP
@@ -43,7 +43,7 @@
     figures: tuple[tuple[str, str | None], ...] = ()
 
     @classmethod
-    def from_figures(cls, job: str, key: str, figures: tuple[tuple[str, str | None], ...]) -> Opening:
+    def from_figures(cls, request_id: str, key: str, figures: tuple[tuple[str, str | None], ...]) -> Opening:
         """An opening from its named values, whichever front brought them; raises BadOpening."""
         named = dict(figures)
         if len(named) < len(figures):
@@ -55,7 +55,7 @@
         if wait is None:
             raise BadOpening("d is no number of milliseconds")
         return cls(
-            job,
+            request_id,
             key,
             named["c"] or "",
             wait,
@@ -161,7 +161,7 @@
 
 
 class Leg(Protocol):
-    """One side's connection of a job."""
+    """One side's connection of a request."""
 
     async def receive(self) -> Message:
         """The next message; raises Ended or Broken."""
@@ -209,14 +209,14 @@
         """Whether the machine answers within `wait` ms; with `load` also its load report as text, if any."""
 
 
-class JobWatcher(Protocol):
-    """Hears what becomes of jobs. What it does takes no time and raises nothing."""
+class RequestWatcher(Protocol):
+    """Hears what becomes of requests. What it does takes no time and raises nothing."""
 
     def came_up(self, key: int, cls: str, server: str, set_up: float) -> None:
         """A connection stands, `set_up` ms after its opening came."""
 
     def turned_away(self, key: int, cls: str, *, failed: bool) -> None:
-        """A job of a known class got a requeue notice, or (`failed`) any other answer."""
+        """A request of a known class got a requeue notice, or (`failed`) any other answer."""
 
     def ended(self, key: int, cls: str, server: str, stood: float, *, cut: bool) -> None:
         """A connection that stood for so many ms ended; `cut` where neither side wanted it."""
--- a/puffinford/fronts/channels/client.py
+++ b/puffinford/fronts/channels/client.py
@@ -1,4 +1,4 @@
-"""The client side of the channel front: each channel that a client opens is one job."""
+"""The client side of the channel front: each channel that a client opens is one request."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
     async def handle(self, wire: Wire) -> None:
         """Serve one connection and all its channels to their ends."""
-        async with anyio.create_task_group() as jobs:
+        async with anyio.create_task_group() as requests:
 
             def on_open(channel: Channel, message: codec.ChannelOpen) -> None:
                 try:
@@ -39,10 +39,10 @@
                     try:
                         await self._exchange.serve(opening, leg)
                     except Exception:
-                        # Guards the connection's other channels against one job's fault.
-                        log.exception("job failed", extra={"job": opening.job})
+                        # Guards the connection's other channels against one request's fault.
+                        log.exception("job failed", extra={"job": opening.request_id})
 
-                jobs.start_soon(serve)
+                requests.start_soon(serve)
 
             mux = Mux(wire, wire.clock, client=False, on_open=on_open, door=self._door)
             await mux.run()
--- a/puffinford/fronts/channels/codec.py
+++ b/puffinford/fronts/channels/codec.py
@@ -17,7 +17,7 @@
 BLOCK = 8
 
 DOMAIN = "puffinford.example"
-JOB = f"job@{DOMAIN}"  # the channel type: one channel is one job
+JOB = f"job@{DOMAIN}"  # the channel type: one channel is one request
 MOVE = f"move@{DOMAIN}"
 BYE = f"bye@{DOMAIN}"
 NOTE = f"note@{DOMAIN}"
--- a/puffinford/fronts/channels/leg.py
+++ b/puffinford/fronts/channels/leg.py
@@ -1,4 +1,4 @@
-"""A channel as a leg of a job."""
+"""A channel as a leg of a request."""
 
 from __future__ import annotations
 
--- a/puffinford/fronts/channels/mux.py
+++ b/puffinford/fronts/channels/mux.py
@@ -148,7 +148,7 @@
         return await self.mux.ended() or self._closed_in or self._eof_in or self.gone
 
     def withdraw(self) -> None:
-        """The peer has given up an open that is not answered yet: for its job the channel has closed."""
+        """The peer has given up an open that is not answered yet: for its request the channel has closed."""
         self._closed_in = True
         self._came.set()
 
--- a/puffinford/fronts/channels/opening.py
+++ b/puffinford/fronts/channels/opening.py
@@ -1,4 +1,4 @@
-"""A job as it travels in CHANNEL_OPEN, and its answers as CHANNEL_OPEN_FAILURE tells them."""
+"""A request as it travels in CHANNEL_OPEN, and its answers as CHANNEL_OPEN_FAILURE tells them."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
     """Id, key, class, tenant, group, wait in milliseconds, then the figures that have no field here."""
     named = {"c", "t", "g", "d"}
     rest = [(name, value) for name, value in opening.figures if name not in named]
-    data = codec.string(opening.job) + codec.string(opening.key) + codec.string(opening.cls)
+    data = codec.string(opening.request_id) + codec.string(opening.key) + codec.string(opening.cls)
     data += codec.string(opening.tenant or "") + codec.string(opening.group or "")
     data += codec.uint32(min(max(1, int(wait)), 0xFFFFFFFF)) + codec.uint32(len(rest))
     for name, value in rest:
@@ -30,7 +30,7 @@
 
 def decode_opening(extra: bytes) -> Opening:
     reader = codec.Reader(extra)
-    job, key, cls, tenant, group = (reader.text() for _ in range(5))
+    request_id, key, cls, tenant, group = (reader.text() for _ in range(5))
     wait = reader.uint32()
     count = reader.uint32()
     if count > FIGURES_MOST:
@@ -44,10 +44,10 @@
         figures.append((name, value if given else None))
     if reader.rest():
         raise codec.Malformed("opening too long")
-    texts = [job, key, *(name for name, _ in figures), *(value or "" for _, value in figures)]
+    texts = [request_id, key, *(name for name, _ in figures), *(value or "" for _, value in figures)]
     if any(_UNSAFE.search(text) for text in texts):
         raise BadOpening("a value holds a space, a comma or a control character")
-    return Opening.from_figures(job, key, tuple(figures))
+    return Opening.from_figures(request_id, key, tuple(figures))
 
 
 def encode_refusal(answer: Busy | Failed) -> tuple[int, str]:
@@ -67,7 +67,7 @@
 
 
 def decode_refusal(refused: Refused) -> Result:
-    """How a claim ended. Only reasons that say so prove that the job never ran."""
+    """How a claim ended. Only reasons that say so prove that the request never ran."""
     return {
         codec.RESOURCE_SHORTAGE: Result.FULL,
         codec.CONNECT_FAILED: Result.CONNECT_FAILED,
--- a/puffinford/fronts/lines/client.py
+++ b/puffinford/fronts/lines/client.py
@@ -1,4 +1,4 @@
-"""The client side of the line front: takes connections and hands their jobs to the exchange."""
+"""The client side of the line front: takes connections and hands their requests to the exchange."""
 
 from __future__ import annotations
 
@@ -49,7 +49,7 @@
                 await wire.write(codec.PONG)
                 wait = PINGS_IDLE
         except BadOpening as exc:
-            # Guards against whatever else connects: a plain failing answer, and no job.
+            # Guards against whatever else connects: a plain failing answer, and no request.
             seldom.info("bad first line", error=str(exc), line=repr(line[:80]))
             with contextlib.suppress(Broken):
                 await leg.answer(Failed(str(exc)))
--- a/puffinford/fronts/lines/codec.py
+++ b/puffinford/fronts/lines/codec.py
@@ -57,7 +57,7 @@
     """The line as it came, but for `d`."""
     left = str(max(1, int(wait)))  # never longer than it is
     pieces = [n if v is None else f"{n}={left if n == 'd' else v}" for n, v in opening.figures]
-    return f"OPEN {opening.job} {opening.key} {','.join(pieces)}".encode("latin-1") + END
+    return f"OPEN {opening.request_id} {opening.key} {','.join(pieces)}".encode("latin-1") + END
 
 
 def encode_answer(answer: Up | Busy | Failed) -> bytes:
--- a/puffinford/fronts/lines/leg.py
+++ b/puffinford/fronts/lines/leg.py
@@ -1,4 +1,4 @@
-"""A line connection as a leg of a job."""
+"""A line connection as a leg of a request."""
 
 from __future__ import annotations
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -111,10 +111,10 @@
                 return message
 
     async def open(
-        self, number: int, job: str, window: int = 1_000, cls: str = "price-lookup", key: str = "7f3a"
+        self, number: int, request_id: str, window: int = 1_000, cls: str = "price-lookup", key: str = "7f3a"
     ) -> None:
         figures = (("c", cls), ("t", "a"), ("d", "2000"), ("g", "5c"), ("h", "1.5"))
-        extra = encode_opening(Opening.from_figures(job, key, figures), 2_000.0)
+        extra = encode_opening(Opening.from_figures(request_id, key, figures), 2_000.0)
         await self.say(codec.ChannelOpen(codec.JOB, number, window, 32_768, extra))
 
     async def confirm(self, window: int = 1_000) -> codec.ChannelOpen:
@@ -232,16 +232,16 @@
     async def wind_down(self) -> None:
         """Every client goes and every limit passes: then no request, leg or count may be left."""
         self.over = True
-        for job in list(self.exchange._jobs.values()):
-            self.tasks.start_soon(job.client.abort)
+        for request in list(self.exchange._requests.values()):
+            self.tasks.start_soon(request.client.abort)
         backends = self.exchange._balancer.known.backends.values()
         for _ in range(200):
             await self.settle()
-            if not self.exchange._jobs and not any(b.flows for b in backends):
+            if not self.exchange._requests and not any(b.flows for b in backends):
                 break
             self.clock.advance(100.0)
         left = {b.id: list(b.flows) for b in backends if b.flows}
-        assert not self.exchange._jobs and not left, (list(self.exchange._jobs), left)
+        assert not self.exchange._requests and not left, (list(self.exchange._requests), left)
         balancer = self.exchange._balancer
         assert not balancer._flows and not balancer._groups and balancer._proving == 0
         assert abs(balancer._load) < 1e-6
@@ -253,8 +253,8 @@
         return peer
 
 
-def opening(job: str = "0a", figures: bytes = b"c=price-lookup,t=a,d=2000,g=5c") -> bytes:
-    return b"OPEN " + job.encode() + b" 7f3a " + figures
+def opening(request_id: str = "0a", figures: bytes = b"c=price-lookup,t=a,d=2000,g=5c") -> bytes:
+    return b"OPEN " + request_id.encode() + b" 7f3a " + figures
 
 
 async def call(port: int, said: str | bytes) -> tuple[int, str]:
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -41,9 +41,10 @@
         await here.server("s-1", script, front="channels")
         client = await here.client(opening(figures=b"c=price-lookup,t=a,d=2000,g=5c,again=1,x"))
         assert await client.line() == b"UP r2\r\n"
-        job = decode_opening(asked[0].extra)
-        assert (job.job, job.key, job.cls, job.tenant, job.group) == ("0a", "7f3a", "price-lookup", "a", "5c")
-        assert job.wait == 1_000 and job.came_back and ("x", None) in job.figures
+        taken = decode_opening(asked[0].extra)
+        assert (taken.request_id, taken.key, taken.cls) == ("0a", "7f3a", "price-lookup")
+        assert (taken.tenant, taken.group) == ("a", "5c")
+        assert taken.wait == 1_000 and taken.came_back and ("x", None) in taken.figures
         await client.say(b"M 1 hello")
         lines = [await client.line() for _ in range(4)]
         assert lines == [b"M 1 hello\r\n", b"LOAD 45\r\n", b"BYE\r\n", b"FIN"]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -65,10 +65,10 @@
                 seen += piece
 
 
-def channel_hello(job: str, number: int = 7) -> bytes:
+def channel_hello(request_id: str, number: int = 7) -> bytes:
     """What a channel client sends to open one."""
     figures = (("c", "price-lookup"), ("t", "a"), ("d", "2000"), ("g", "5c"))
-    extra = encode_opening(Opening.from_figures(job, "7f3a", figures), 2_000.0)
+    extra = encode_opening(Opening.from_figures(request_id, "7f3a", figures), 2_000.0)
     message = codec.ChannelOpen(codec.JOB, number, 1_000, 32_768, extra)
     return codec.VERSION.encode() + b"\r\n" + codec.encode(message)
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -294,7 +294,7 @@
         for _ in range(30):
             here.clock.advance(100.0)
             await anyio.wait_all_tasks_blocked()
-            moves.append(sum(job.standing for job in here.exchange._jobs.values()))
+            moves.append(sum(request.standing for request in here.exchange._requests.values()))
         assert len(set(moves)) > 3, "they went together"
         for client in [*clients, late]:
             assert [await client.line(), await client.line()] == [b"MOVE\r\n", b"FIN"]
