Name an attempt by its standard name in core and fronts

Claim was the shop's own word for an attempt at a server: ServerAttempt and AttemptEnded, and server list and retry-after where comments of core and fronts said machine list and requeue notice. ServerSide.claim, Machine and MachineList keep their names until the packages that implement them are renamed; log events and keys (`claim ended`, `claims=`) stay for the operators who read them. Behaviour is unchanged.

--- a/puffinford/core/answers.py
+++ b/puffinford/core/answers.py
@@ -41,7 +41,7 @@
             ("busy", answer.why) if isinstance(answer, Busy) else ("failed", answer.reason)
         )
         if request is not None:
-            told["claims"] = request.claims
+            told["claims"] = request.attempts
             told["waited_ms"] = round(self._context.clock.now() - request.deadline + opening.wait)
         log.info("answer", extra=told)
 
@@ -49,7 +49,7 @@
         """End both sides' connections as the request's ending says."""
         ending = request.ending
         assert ending is not None
-        server = request.claim.leg if request.claim is not None else None
+        server = request.attempt.leg if request.attempt is not None else None
         async with anyio.create_task_group() as tasks:
             if server is not None:
                 tasks.start_soon(server.abort if ending.broken or ending.answer else server.end)
--- a/puffinford/core/attempts.py
+++ b/puffinford/core/attempts.py
@@ -13,10 +13,10 @@
 from puffinford.core.load_reports import LoadReports
 from puffinford.core.logger import log
 from puffinford.core.relaying import Relay
-from puffinford.core.requests import Claim, ClientRequest, Ending, number_of
+from puffinford.core.requests import ClientRequest, Ending, ServerAttempt, number_of
 from puffinford.core.servers import ServerTable
 from puffinford.core.stall import StallWatch
-from puffinford.core.values import Broken, ClaimEnded, Failed, Message, ServerSide, Up
+from puffinford.core.values import AttemptEnded, Broken, Failed, Message, ServerSide, Up
 
 AT_RETRY = 250.0  # between tries of a connection that stood before the run
 
@@ -50,17 +50,17 @@
         number = 0
         result = it.Result.MOOT
         if request is not None and request.ending is None:
-            number = request.claims
+            number = request.attempts
             machine = self._servers.get(action.server)
-            if request.claim is not None:
+            if request.attempt is not None:
                 log.error("second claim withheld", extra={"job": request.id, "server": action.server})
             elif machine is None:
-                request.claims += 1
+                request.attempts += 1
                 result = it.Result.CONNECT_FAILED
             else:
-                request.claims += 1
-                request.claim = Claim(machine, number, self._context.clock.now())
-                request.tasks.start_soon(self._run, request, request.claim, action.timeout, action.until)
+                request.attempts += 1
+                request.attempt = ServerAttempt(machine, number, self._context.clock.now())
+                request.tasks.start_soon(self._run, request, request.attempt, action.timeout, action.until)
                 return
         closed = request is None or request.ending is not None
         self._context.tell(it.Outcome(action.id, number, action.server, result, 0.0, closed))
@@ -68,68 +68,74 @@
     def cancel(self, action: it.Cancel) -> None:
         """Give up an attempt, where it is the one that is out."""
         request = self._context.requests.get(action.id)
-        claim = request.claim if request is not None else None
-        if claim is not None and claim.number == action.attempt:
-            claim.scope.cancel()
+        attempt = request.attempt if request is not None else None
+        if attempt is not None and attempt.number == action.attempt:
+            attempt.scope.cancel()
 
     async def _try(
-        self, request: ClientRequest, claim: Claim, wait: float, until: float = float("inf")
-    ) -> tuple[Up | None, ClaimEnded]:
+        self, request: ClientRequest, attempt: ServerAttempt, wait: float, until: float = float("inf")
+    ) -> tuple[Up | None, AttemptEnded]:
         """One attempt, up or ended; cancelled it gives nothing back but its result."""
-        ended = ClaimEnded(it.Result.CANCELLED)
+        ended = AttemptEnded(it.Result.CANCELLED)
         up = None
-        with claim.scope:
+        with attempt.scope:
             try:
                 if request.opening.at is None:
                     await self._stall.trusted()
-                admit = partial(self._admission.admit, request, claim, until)
+                admit = partial(self._admission.admit, request, attempt, until)
                 await admit()
-                side = self.sides[claim.machine.front]
-                sent = partial(self._sent, request, claim)
-                claim.leg, up = await side.claim(claim.machine, request.opening, wait, admit, sent)
-            except ClaimEnded as exc:
+                side = self.sides[attempt.machine.front]
+                sent = partial(self._sent, request, attempt)
+                attempt.leg, up = await side.claim(attempt.machine, request.opening, wait, admit, sent)
+            except AttemptEnded as exc:
                 ended = exc
         return up, ended
 
-    def _sent(self, request: ClientRequest, claim: Claim) -> None:
-        claim.sent = True
+    def _sent(self, request: ClientRequest, attempt: ServerAttempt) -> None:
+        attempt.sent = True
         self._context.figures.add(request.opening.cls, Count.ATTEMPTS)
 
-    async def _run(self, request: ClientRequest, claim: Claim, timeout: float, until: float) -> None:
-        left = request.deadline - claim.started
-        up, ended = await self._try(request, claim, min(timeout, left) if timeout > 0 else left, until)
-        if request.ending is not None and claim.leg is not None:
+    async def _run(
+        self, request: ClientRequest, attempt: ServerAttempt, timeout: float, until: float
+    ) -> None:
+        left = request.deadline - attempt.started
+        up, ended = await self._try(request, attempt, min(timeout, left) if timeout > 0 else left, until)
+        if request.ending is not None and attempt.leg is not None:
             # Guards the one final answer: UP came in the turn in which another was given, or the client left.
             # The leg ends with the request, and the module has heard that its client is gone.
             return
-        latency = self._context.clock.now() - claim.started
+        latency = self._context.clock.now() - attempt.started
         if up is None:
-            await self._ended(request, claim, ended, latency)
+            await self._ended(request, attempt, ended, latency)
             return
-        self._context.tell(it.Established(request.id, claim.number, claim.machine.server.id, latency))
-        await self._relay.run(request, claim, up)
+        self._context.tell(it.Established(request.id, attempt.number, attempt.machine.server.id, latency))
+        await self._relay.run(request, attempt, up)
 
-    async def _ended(self, request: ClientRequest, claim: Claim, ended: ClaimEnded, latency: float) -> None:
+    async def _ended(
+        self, request: ClientRequest, attempt: ServerAttempt, ended: AttemptEnded, latency: float
+    ) -> None:
         """An attempt that did not come to stand."""
-        request.claim = None
-        self._log_ended(request, claim, ended, latency)
+        request.attempt = None
+        self._log_ended(request, attempt, ended, latency)
         served = ended.result is it.Result.OK and request.ending is None
         if served:
             # Served to its end before it ever stood: what the server sent is the answer, and the only one.
             request.ending = Ending()
             await self._pass_all(request, ended.messages)
         closed = request.ending is not None
-        server = claim.machine.server.id
+        server = attempt.machine.server.id
         report = self._reports.of_answer(server, ended.report)
         self._context.tell(
-            it.Outcome(request.id, claim.number, server, ended.result, latency, closed, report)
+            it.Outcome(request.id, attempt.number, server, ended.result, latency, closed, report)
         )
         if served:
             request.done.set()
 
-    def _log_ended(self, request: ClientRequest, claim: Claim, ended: ClaimEnded, latency: float) -> None:
-        server = claim.machine.server.id
-        told = {"job": request.id, "server": server, "result": ended.result.value, "number": claim.number}
+    def _log_ended(
+        self, request: ClientRequest, attempt: ServerAttempt, ended: AttemptEnded, latency: float
+    ) -> None:
+        server = attempt.machine.server.id
+        told = {"job": request.id, "server": server, "result": ended.result.value, "number": attempt.number}
         if ended.result is it.Result.ERROR:
             told["figures"] = str(request.opening.figures)[:300]  # the opening may be at fault
         log.info("claim ended", extra={**told, "ms": round(latency, 1)})
@@ -152,13 +158,13 @@
                 log.warning("not resumed", extra=told)
                 self._endings.finish(request.id, Ending(Failed("cannot be resumed")))
                 return
-            claim = request.claim = Claim(machine, 0, self._context.clock.now())
-            up, ended = await self._try(request, claim, left)
+            attempt = request.attempt = ServerAttempt(machine, 0, self._context.clock.now())
+            up, ended = await self._try(request, attempt, left)
             if up is not None:
                 self._context.tell(it.Inherited(request_of(request), ident))
-                await self._relay.run(request, claim, up)
+                await self._relay.run(request, attempt, up)
                 return
-            request.claim = None
+            request.attempt = None
             log.info("claim ended", extra={"job": request.id, "server": ident, "result": ended.result.value})
             if ended.result not in (it.Result.FULL, it.Result.CONNECT_FAILED):
                 self._endings.finish(request.id, Ending(Failed("cannot be resumed")))
--- a/puffinford/core/delay_watch.py
+++ b/puffinford/core/delay_watch.py
@@ -7,7 +7,7 @@
 from puffinford.core.delays import DelayMeter
 from puffinford.core.logger import log
 from puffinford.core.notes import NoteKinds
-from puffinford.core.requests import Claim
+from puffinford.core.requests import ServerAttempt
 
 
 class DelayWatch:
@@ -24,11 +24,11 @@
         self._meter = DelayMeter(shortest)
         self._notes = NoteKinds(shortest, self._context.requests.stands)
 
-    def answered(self, claim: Claim) -> None:
+    def answered(self, attempt: ServerAttempt) -> None:
         """A message came from the server, and answers the oldest line that waits."""
-        delay = claim.unanswered.answered(self._context.clock.now())
+        delay = attempt.unanswered.answered(self._context.clock.now())
         if delay is not None:
-            self._meter.sample(claim.machine.server.id, delay)
+            self._meter.sample(attempt.machine.server.id, delay)
 
     def note(self, request_id: str, server: str, value: float) -> None:
         """A server's note. The line is one for both kinds; the settings say which a server sends.
@@ -52,10 +52,10 @@
             self._context.tell(it.LoadNote(note.request_id, note.server, note.value))
         waiting = []
         carriers: dict[str, str] = {}
-        for request, claim in self._context.requests.standing():
-            ident = claim.machine.server.id
+        for request, attempt in self._context.requests.standing():
+            ident = attempt.machine.server.id
             carriers.setdefault(ident, request.id)
-            waiting.append((ident, claim.unanswered.age(now)))
+            waiting.append((ident, attempt.unanswered.age(now)))
         for ident, delay in self._meter.round(waiting):
             if ident in carriers:
                 self._tell_delay(carriers[ident], ident, delay, "measure")
--- a/puffinford/core/drain.py
+++ b/puffinford/core/drain.py
@@ -47,7 +47,7 @@
         for request in list(self._context.requests.values()):
             if request.standing:
                 self._endings.close(request, Ending(move=True), it.Result.CANCELLED)
-            elif self._balancer.harmless(request.id, request.claim is not None and request.claim.sent):
+            elif self._balancer.harmless(request.id, request.attempt is not None and request.attempt.sent):
                 retry_after = self._context.settings.max_retry_after
                 self._endings.abandon(request, Ending(Busy(retry_after, "leaving")))
             else:
--- a/puffinford/core/endings.py
+++ b/puffinford/core/endings.py
@@ -23,8 +23,8 @@
             request.ending = ending
             request.done.set()
             self._context.tell(it.ClientLeft(request.id))
-            if request.claim is not None:
-                request.claim.scope.cancel()
+            if request.attempt is not None:
+                request.attempt.scope.cancel()
 
     def finish(self, ident: str, ending: Ending) -> None:
         """End a request of which the module has nothing in hand any more."""
@@ -35,19 +35,19 @@
 
     def close(self, request: ClientRequest, ending: Ending, result: it.Result, text: str = "") -> None:
         """End a standing connection, and tell the module so, with the load report that its end brought."""
-        claim = request.claim
-        if request.ending is not None or claim is None:
+        attempt = request.attempt
+        if request.ending is not None or attempt is None:
             return
         request.ending = ending
         request.done.set()
-        latency = self._context.clock.now() - claim.started
-        server = claim.machine.server.id
+        latency = self._context.clock.now() - attempt.started
+        server = attempt.machine.server.id
         watcher = self._context.watcher
         if watcher is not None:
             cut = ending.move or result is it.Result.RESET
             watcher.ended(request.key, request.opening.cls, server, latency, cut=cut)
         report = self._reports.of_answer(server, text)
-        self._context.tell(it.Outcome(request.id, claim.number, server, result, latency, True, report))
+        self._context.tell(it.Outcome(request.id, attempt.number, server, result, latency, True, report))
         told = {"job": request.id, "server": server, "result": result.value, "moved": ending.move}
         log.info("end", extra={**told, "stood_ms": round(latency)})
 
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -1,8 +1,8 @@
 """The exchange: the only place where client side and server side meet.
 
 It takes each request, tells the decision module what happens, and has what the module decides carried out by
-its parts, each in a module of its own. A request gets one final answer, and never has two claims out. Neither
-bytes nor fronts are known here.
+its parts, each in a module of its own. A request gets one final answer, and never has two attempts out.
+Neither bytes nor fronts are known here.
 """
 
 from __future__ import annotations
@@ -176,8 +176,8 @@
         told = []
         for flow in self._balancer.known.standing(server, most):
             request = self._requests.get(flow.id)
-            if request is not None and request.standing and request.claim is not None:
-                told.append((flow, request.claim.unanswered.age(now) == 0.0))
+            if request is not None and request.standing and request.attempt is not None:
+                told.append((flow, request.attempt.unanswered.age(now) == 0.0))
         return told
 
     def advise(self, ident: str) -> str | None:
@@ -197,7 +197,7 @@
     # The server list
 
     def cordon(self, servers: frozenset[str]) -> None:
-        """These servers are out, and no others, whatever the machine list says."""
+        """These servers are out, and no others, whatever the server list says."""
         self._servers.cordoned = servers
         if self._source is not None:  # else the module is told first of all
             self._tell(it.Cordoned(servers))
--- a/puffinford/core/figures.py
+++ b/puffinford/core/figures.py
@@ -8,9 +8,9 @@
 
 class Count(Enum):
     SERVED = "served"  # connections brought up
-    REFUSED = "refused"  # given a requeue notice
+    REFUSED = "refused"  # told to retry later
     FAILED = "failed"  # given any other answer
-    ATTEMPTS = "attempts"  # claims written whole to servers
+    ATTEMPTS = "attempts"  # openings written whole to servers
 
 
 class Figures:
--- a/puffinford/core/relaying.py
+++ b/puffinford/core/relaying.py
@@ -8,7 +8,7 @@
 from puffinford.core.endings import Endings
 from puffinford.core.figures import Count
 from puffinford.core.logger import log
-from puffinford.core.requests import Claim, ClientRequest, Ending
+from puffinford.core.requests import ClientRequest, Ending, ServerAttempt
 from puffinford.core.values import Broken, Ended, Failed, Kind, Leg, Message, Up
 
 HALF_CLOSED = 500.0  # how long a client that ended may still hear its server; the rules allow 1 s in all
@@ -35,12 +35,12 @@
                     # nothing but its opening may reach a server on its account.
                     self._endings.abandon(request, Ending(Failed("a line before UP")))
                     return
-                claim = request.claim
-                if claim is None or claim.leg is None:
+                attempt = request.attempt
+                if attempt is None or attempt.leg is None:
                     return
-                claim.unanswered.sent(self._context.clock.now())
+                attempt.unanswered.sent(self._context.clock.now())
                 try:
-                    await claim.leg.send(message)
+                    await attempt.leg.send(message)
                 except Broken:
                     return  # what reads from the server says how it ended
         except Ended:
@@ -55,10 +55,10 @@
         if not request.standing:
             self._endings.abandon(request, Ending(broken=True))
             return
-        if not broken and request.claim is not None and request.claim.leg is not None:
+        if not broken and request.attempt is not None and request.attempt.leg is not None:
             request.left = True
             try:
-                await request.claim.leg.end_sending()
+                await request.attempt.leg.end_sending()
                 await self._context.clock.sleep(HALF_CLOSED)
             except Broken:
                 pass
@@ -66,19 +66,19 @@
 
     # From the server
 
-    async def run(self, request: ClientRequest, claim: Claim, up: Up) -> None:
+    async def run(self, request: ClientRequest, attempt: ServerAttempt, up: Up) -> None:
         """Answer UP, then pass on what the server sends until it ends."""
-        leg = claim.leg
+        leg = attempt.leg
         assert leg is not None
-        self._log_up(request, claim)
+        self._log_up(request, attempt)
         last = Message(b"")
         broken = False
         request.up.set()
         try:
-            if not await self._answer_up(request, claim, up):
+            if not await self._answer_up(request, attempt, up):
                 return  # the listener hears it too
             while True:
-                last = await self._next(request, claim, leg)
+                last = await self._next(request, attempt, leg)
                 if request.ending is not None:
                     return
                 try:
@@ -91,13 +91,13 @@
             broken = True
         self._endings.close(request, Ending(broken=broken), _result(request, last.kind, broken), last.report)
 
-    def _log_up(self, request: ClientRequest, claim: Claim) -> None:
+    def _log_up(self, request: ClientRequest, attempt: ServerAttempt) -> None:
         opening = request.opening
-        server = claim.machine.server.id
+        server = attempt.machine.server.id
         told = {"job": request.id, "key": opening.key, "group": opening.group or "", "server": server}
-        log.info("up", extra={**told, "claims": claim.number + 1})
+        log.info("up", extra={**told, "claims": attempt.number + 1})
 
-    async def _answer_up(self, request: ClientRequest, claim: Claim, up: Up) -> bool:
+    async def _answer_up(self, request: ClientRequest, attempt: ServerAttempt, up: Up) -> bool:
         """Whether the client has taken its UP."""
         try:
             await request.client.answer(up)
@@ -107,16 +107,16 @@
         context.figures.add(request.opening.cls, Count.SERVED)
         if context.watcher is not None:
             set_up = context.clock.now() - (request.deadline - request.opening.wait)
-            context.watcher.came_up(request.key, request.opening.cls, claim.machine.server.id, set_up)
+            context.watcher.came_up(request.key, request.opening.cls, attempt.machine.server.id, set_up)
         return True
 
-    async def _next(self, request: ClientRequest, claim: Claim, leg: Leg) -> Message:
+    async def _next(self, request: ClientRequest, attempt: ServerAttempt, leg: Leg) -> Message:
         message = await leg.receive()
         if message.kind is Kind.NOTE:
-            claim.unanswered.heard(self._context.clock.now())
-            self._delays.note(request.id, claim.machine.server.id, message.note)
+            attempt.unanswered.heard(self._context.clock.now())
+            self._delays.note(request.id, attempt.machine.server.id, message.note)
         else:
-            self._delays.answered(claim)
+            self._delays.answered(attempt)
         return message
 
 
--- a/puffinford/core/requests.py
+++ b/puffinford/core/requests.py
@@ -10,7 +10,7 @@
 from puffinford.hashing import stable_hash
 
 
-class Claim:
+class ServerAttempt:
     """One attempt at a server."""
 
     __slots__ = ("leg", "machine", "number", "scope", "sent", "started", "unanswered")
@@ -33,8 +33,8 @@
         self.client = client
         self.deadline = deadline
         self.tasks: anyio.abc.TaskGroup
-        self.claim: Claim | None = None
-        self.claims = 0
+        self.attempt: ServerAttempt | None = None
+        self.attempts = 0
         self.up = anyio.Event()
         self.done = anyio.Event()
         self.left = False  # the client has ended its side
@@ -51,7 +51,7 @@
 
     @property
     def standing(self) -> bool:
-        return self.ending is None and self.claim is not None and self.claim.leg is not None
+        return self.ending is None and self.attempt is not None and self.attempt.leg is not None
 
 
 class Ending:
@@ -70,12 +70,12 @@
 class RequestTable(dict[str, ClientRequest]):
     """The requests that are served now, by id."""
 
-    def standing(self) -> list[tuple[ClientRequest, Claim]]:
-        """The requests whose connections stand, each with the claim that does."""
+    def standing(self) -> list[tuple[ClientRequest, ServerAttempt]]:
+        """The requests whose connections stand, each with the attempt that does."""
         return [
-            (request, request.claim)
+            (request, request.attempt)
             for request in self.values()
-            if request.standing and request.claim is not None
+            if request.standing and request.attempt is not None
         ]
 
     def stands(self, ident: str) -> bool:
--- a/puffinford/core/silence.py
+++ b/puffinford/core/silence.py
@@ -6,7 +6,7 @@
 from puffinford.core.context import Context
 from puffinford.core.endings import Endings
 from puffinford.core.logger import log
-from puffinford.core.requests import Claim, ClientRequest, Ending
+from puffinford.core.requests import ClientRequest, Ending, ServerAttempt
 
 # A line unanswered this long. The rules allow a silent connection 7 s, and its client may have sent the
 # line 2 s after it fell silent.
@@ -27,22 +27,22 @@
         now = self._context.clock.now()
         standing = self._context.requests.standing()
         hushed = self._hushed(standing, now)
-        for request, claim in standing:
-            silence = claim.unanswered.silence(now)
-            ident = claim.machine.server.id
+        for request, attempt in standing:
+            silence = attempt.unanswered.silence(now)
+            ident = attempt.machine.server.id
             if silence > SILENT or ident in hushed:
                 log.warning("silent", extra={"job": request.id, "server": ident, "ms": round(silence)})
                 self._endings.close(request, Ending(move=True), it.Result.RESET)
 
-    def _hushed(self, standing: list[tuple[ClientRequest, Claim]], now: float) -> set[str]:
+    def _hushed(self, standing: list[tuple[ClientRequest, ServerAttempt]], now: float) -> set[str]:
         """The servers that have vanished, as their connections tell together.
 
         Guards the clients that have sent nothing of late: each alone would find out seconds later.
         """
         heard: dict[str, float] = {}
         waits: dict[str, int] = {}
-        for _, claim in standing:
-            ident = claim.machine.server.id
-            heard[ident] = max(heard.get(ident, 0.0), claim.unanswered.last_heard, claim.started)
-            waits[ident] = waits.get(ident, 0) + (claim.unanswered.age(now) > 0.0)
+        for _, attempt in standing:
+            ident = attempt.machine.server.id
+            heard[ident] = max(heard.get(ident, 0.0), attempt.unanswered.last_heard, attempt.started)
+            waits[ident] = waits.get(ident, 0) + (attempt.unanswered.age(now) > 0.0)
         return {ident for ident, at in heard.items() if waits[ident] >= HUSH_LINES and now - at > HUSH}
--- a/puffinford/core/stall.py
+++ b/puffinford/core/stall.py
@@ -10,7 +10,7 @@
 
 WATCH = 500.0  # between turns of the exchange's own loop, in ms
 STALLED = 300.0  # the program itself came this late to its turn: all limits were late by as much
-DOUBT_MOST = 500.0  # after that a new claim waits so long for a list, and no longer
+DOUBT_MOST = 500.0  # after that a new attempt waits so long for a list, and no longer
 
 
 class StallWatch:
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Busy:
-    """The requeue notice: trying again is harmless, and when."""
+    """Trying again is harmless, and after how many ms."""
 
     retry_after: float = 0.0
     why: str = ""  # for the log: what gave it up
@@ -116,8 +116,8 @@
     """The connection broke."""
 
 
-class ClaimEnded(Exception):
-    """A claim ended without standing; `messages` are what the server sent for the client.
+class AttemptEnded(Exception):
+    """An attempt ended without standing; `messages` are what the server sent for the client.
 
     `report` is the load report beside the server's answer, as text; empty where there is none.
     """
@@ -131,7 +131,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Machine:
-    """An entry of the machine list: what the decisions see of a server, its address and its front."""
+    """An entry of the server list: what the decisions see of a server, its address and its front."""
 
     server: Server
     host: str
@@ -150,7 +150,7 @@
 class Restored:
     """What a start goes by before discovery has spoken: a list, and how far it can be relied on.
 
-    At most `most` claims (0: any number) are out at once to entries in `unproven`, for `patience` ms each.
+    At most `most` attempts (0: any number) are out at once to entries in `unproven`, for `patience` ms each.
     """
 
     machines: MachineList
@@ -199,7 +199,7 @@
         admit: Callable[[], Awaitable[None]],
         sent: Callable[[], None],
     ) -> tuple[Leg, Up]:
-        """Make an attempt; raises ClaimEnded with its result, TIMEOUT after `wait`.
+        """Make an attempt; raises AttemptEnded with its result, TIMEOUT after `wait`.
 
         `admit` is awaited once the connection is there, right before the first byte of the opening, and may
         end the attempt; `sent` is called once its last byte has been written.
@@ -216,7 +216,7 @@
         """A connection stands, `set_up` ms after its opening came."""
 
     def turned_away(self, key: int, cls: str, *, failed: bool) -> None:
-        """A request of a known class got a requeue notice, or (`failed`) any other answer."""
+        """A request of a known class was told to retry later, or (`failed`) got any other answer."""
 
     def ended(self, key: int, cls: str, server: str, stood: float, *, cut: bool) -> None:
         """A connection that stood for so many ms ended; `cut` where neither side wanted it."""
@@ -226,7 +226,7 @@
 
 
 class MachineSource(Protocol):
-    """Where machine lists come from; the exchange hears of each through `take_list`."""
+    """Where server lists come from; the exchange hears of each through `take_list`."""
 
     def subscribe(self, on: bool) -> None: ...
 
--- a/puffinford/fronts/channels/opening.py
+++ b/puffinford/fronts/channels/opening.py
@@ -61,13 +61,13 @@
 
 
 def decode_wait(refused: Refused) -> float:
-    """The time to come back that a requeue notice carries, in milliseconds."""
+    """The retry-after that a refusal carries, in milliseconds; 0 where there is none."""
     found = _WAIT.search(refused.description)
     return float(found.group(1)) if found else 0.0
 
 
 def decode_refusal(refused: Refused) -> Result:
-    """How a claim ended. Only reasons that say so prove that the request never ran."""
+    """How an attempt ended. Only reasons that say so prove that the request never ran."""
     return {
         codec.RESOURCE_SHORTAGE: Result.FULL,
         codec.CONNECT_FAILED: Result.CONNECT_FAILED,
--- a/puffinford/fronts/channels/server.py
+++ b/puffinford/fronts/channels/server.py
@@ -1,4 +1,4 @@
-"""The server side of the channel front: one connection a machine, a channel a claim."""
+"""The server side of the channel front: one connection a machine, a channel an attempt."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 import anyio.abc
 
 from puffinford.core.clock import Clock
-from puffinford.core.values import Broken, ClaimEnded, Machine, Opening, Up
+from puffinford.core.values import AttemptEnded, Broken, Machine, Opening, Up
 from puffinford.fronts.channels import codec
 from puffinford.fronts.channels.leg import ChannelLeg
 from puffinford.fronts.channels.mux import Channel, Mux, Refused
@@ -21,7 +21,7 @@
 
 
 class ChannelServers:
-    """`run` owns the connections; claims made before it are refused by their connections' lack."""
+    """`run` owns the connections; attempts made before it are refused by their connections' lack."""
 
     def __init__(self, clock: Clock, budget: Budget, connect_timeout: float) -> None:
         self._clock = clock
@@ -45,14 +45,14 @@
                 try:
                     wire = await connect(address, self._clock, self._budget)
                 except OwnLack:
-                    raise ClaimEnded(Result.MOOT) from None
+                    raise AttemptEnded(Result.MOOT) from None
                 if wire is None or self._tasks is None:
-                    raise ClaimEnded(Result.CONNECT_FAILED)
+                    raise AttemptEnded(Result.CONNECT_FAILED)
                 mux = self._muxes[address] = Mux(wire, self._clock, client=True)
                 self._tasks.start_soon(mux.run)
                 await mux.up.wait()
         if mux.over:
-            raise ClaimEnded(Result.CONNECT_FAILED)
+            raise AttemptEnded(Result.CONNECT_FAILED)
         return mux
 
     async def claim(
@@ -68,15 +68,15 @@
         with self._clock.limit(min(wait, self.connect_timeout)):
             mux = await self._mux(machine)
         if mux is None:
-            raise ClaimEnded(Result.CONNECT_FAILED)
+            raise AttemptEnded(Result.CONNECT_FAILED)
         await admit()
         left = wait - (self._clock.now() - started)
         if left <= 0:
-            raise ClaimEnded(Result.CONNECT_FAILED)
+            raise AttemptEnded(Result.CONNECT_FAILED)
         try:
             channel = await mux.open(encode_opening(opening, left), sent)
         except (Broken, Refused):
-            raise ClaimEnded(Result.CONNECT_FAILED) from None
+            raise AttemptEnded(Result.CONNECT_FAILED) from None
         standing = False
         try:
             with self._clock.limit(left):
@@ -85,21 +85,21 @@
             standing = True
             return leg, up
         finally:
-            # Guards against a second claim beside one given up: the server is told first.
+            # Guards against a second attempt beside one given up: the server is told first.
             if not standing:
                 mux.cancel_open(channel)
 
     def _settle(self, channel: Channel) -> tuple[ChannelLeg, Up]:
         if not channel.settled.is_set():
-            raise ClaimEnded(Result.TIMEOUT)
+            raise AttemptEnded(Result.TIMEOUT)
         if channel.refused is not None:
-            raise ClaimEnded(decode_refusal(channel.refused))
+            raise AttemptEnded(decode_refusal(channel.refused))
         if channel.gone:
-            raise ClaimEnded(Result.RESET if channel.sent_open else Result.CONNECT_FAILED)
+            raise AttemptEnded(Result.RESET if channel.sent_open else Result.CONNECT_FAILED)
         try:
             receipt = codec.Reader(channel.confirmation).text()
         except codec.Malformed:
-            raise ClaimEnded(Result.ERROR) from None
+            raise AttemptEnded(Result.ERROR) from None
         return ChannelLeg(channel, self._clock), Up(receipt)
 
     async def probe(self, machine: Machine, wait: float, load: bool) -> tuple[Result, str]:
@@ -109,6 +109,6 @@
             with self._clock.limit(wait):
                 await self._mux(machine)
                 result = Result.OK
-        except ClaimEnded as exc:
+        except AttemptEnded as exc:
             result = exc.result
         return result, ""
--- a/puffinford/fronts/lines/codec.py
+++ b/puffinford/fronts/lines/codec.py
@@ -73,7 +73,7 @@
 
 
 def decode_answer(line: bytes) -> tuple[Up | Result, str]:
-    """A server's first line: UP, or how the claim ended, with the load report that it may end with."""
+    """A server's first line: UP, or how the attempt ended, with the load report that it may end with."""
     try:
         word, _, rest = _text(line).partition(" ")
     except BadLine:
--- a/puffinford/fronts/lines/server.py
+++ b/puffinford/fronts/lines/server.py
@@ -1,11 +1,11 @@
-"""The server side of the line front: each claim is a connection of its own."""
+"""The server side of the line front: each attempt is a connection of its own."""
 
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
 
 from puffinford.core.clock import Clock
-from puffinford.core.values import Broken, ClaimEnded, Ended, Machine, Opening, Up
+from puffinford.core.values import AttemptEnded, Broken, Ended, Machine, Opening, Up
 from puffinford.fronts.lines import codec
 from puffinford.fronts.lines.leg import LineLeg
 from puffinford.fronts.sockets import Budget, OwnLack, Wire, connect
@@ -25,9 +25,9 @@
                 wire = await connect((machine.host, machine.port), self._clock, self._budget)
         except OwnLack:
             # Guards a sound server against being taken for unreachable when we lack descriptors.
-            raise ClaimEnded(Result.MOOT) from None
+            raise AttemptEnded(Result.MOOT) from None
         if wire is None:
-            raise ClaimEnded(Result.CONNECT_FAILED)
+            raise AttemptEnded(Result.CONNECT_FAILED)
         return wire
 
     async def claim(
@@ -48,11 +48,11 @@
             await admit()
             left = wait - (self._clock.now() - started)
             if left <= 0:
-                raise ClaimEnded(Result.CONNECT_FAILED)
+                raise AttemptEnded(Result.CONNECT_FAILED)
             try:
                 await wire.write(codec.encode_opening(opening, left))
             except Broken:
-                raise ClaimEnded(Result.CONNECT_FAILED) from None
+                raise AttemptEnded(Result.CONNECT_FAILED) from None
             sent()
             with self._clock.limit(left):
                 try:
@@ -64,16 +64,16 @@
                 standing = True
                 return leg, answer
             messages = (codec.decode_message(line),) if answer is Result.OK else ()
-            raise ClaimEnded(answer, messages, report)
+            raise AttemptEnded(answer, messages, report)
         finally:
-            # Guards against a second claim beside one given up: its connection is closed first.
+            # Guards against a second attempt beside one given up: its connection is closed first.
             if not standing:
                 wire.close()
 
     async def probe(self, machine: Machine, wait: float, load: bool) -> tuple[Result, str]:
         try:
             wire = await self._connect(machine, wait)
-        except ClaimEnded as exc:
+        except AttemptEnded as exc:
             return exc.result, ""
         result, report = Result.TIMEOUT, ""
         try:
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -128,7 +128,7 @@
 
 
 class NoSource:
-    """A machine list that never changes; where `told` is set, one that is asked and may answer."""
+    """A server list that never changes; where `told` is set, one that is asked and may answer."""
 
     def __init__(self) -> None:
         self.told = False
@@ -197,7 +197,7 @@
     async def server(
         self, ident: str, script: Callable[[Peer], Awaitable[None]], front: str = "lines"
     ) -> None:
-        """A scripted server that is on the machine list from now on."""
+        """A scripted server that is on the server list from now on."""
 
         async def handle(stream: anyio.abc.SocketStream) -> None:
             await script(Peer(stream))
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -155,7 +155,7 @@
 
 
 async def test_a_deadline_closes_the_channel_on_both_sides() -> None:
-    """The server is told before the next claim; an answer that comes late is closed; one final answer."""
+    """The server is told before the next attempt; an answer that comes late is closed; one final answer."""
     told: list[object] = []
     over = anyio.Event()
 
@@ -192,7 +192,7 @@
     ],
 )
 async def test_open_failures_become_outcomes(reason: int, word: bytes) -> None:
-    """For a class that may not run twice only proof that it never ran ends in a requeue notice."""
+    """For a class that may not run twice only proof that it never ran ends in a retry-after."""
 
     async def script(peer: Peer) -> None:
         server = await ChannelPeer(peer.stream).hello()
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -1,4 +1,4 @@
-"""Stories of the line front, the exchange and the machine list, over loopback sockets."""
+"""Stories of the line front, the exchange and the server list, over loopback sockets."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 from puffinford.core.clock import SettableClock
 from puffinford.core.delays import Unanswered
-from puffinford.core.values import ClaimEnded, Machine, MachineList, Opening, ServerSide
+from puffinford.core.values import AttemptEnded, Machine, MachineList, Opening, ServerSide
 from puffinford.fronts.lines import codec
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.sockets import Budget
@@ -96,7 +96,7 @@
         assert isinstance(first, Opening)
         machine = Machine(Server("s"), "127.0.0.1", port)
         written: list[bool] = []
-        with pytest.raises(ClaimEnded) as ended:
+        with pytest.raises(AttemptEnded) as ended:
             await LineServers(here.clock, Budget(), 500.0).claim(
                 machine, first, 900.0, anyio.lowlevel.checkpoint, lambda: written.append(True)
             )
@@ -131,7 +131,7 @@
 async def test_a_job_given_up_is_answered_at_once_with_the_time_to_come_back(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
-    """The requeue notice goes out with the last claim's end; the clock never moves. The log says why."""
+    """BUSY goes out with the last attempt's end; the clock never moves. The log says why."""
     async with stage() as here:
         for ident in ("s-1", "s-2"):
             await here.server(ident, answering(b"BUSY"))
--- a/tests/test_stall.py
+++ b/tests/test_stall.py
@@ -22,12 +22,12 @@
 @pytest.mark.parametrize("news", ["draining", "none", "a failed call", "nothing at all"])
 async def test_after_a_stop_new_claims_wait_for_the_list_and_no_longer_than_half_a_second(news: str) -> None:
     """A server was told to drain while the balancer was frozen; it sent clients there for a second more."""
-    claims: list[str] = []
+    attempts: list[str] = []
 
     def server(ident: str):  # type: ignore[no-untyped-def]
         async def script(peer: Peer) -> None:
             line = await peer.line()
-            claims.append(ident)
+            attempts.append(ident)
             await peer.say(b"UP " + line.split()[1])
             await peer.line()
 
@@ -41,7 +41,7 @@
         client = await here.client(opening("0a"))
         for _ in range(20):
             await here.settle()
-        assert claims == [] and here.source.asked == 1, "asked at once, and once"
+        assert attempts == [] and here.source.asked == 1, "asked at once, and once"
         if news == "draining":
             await here.server("s-2", server("s-2"))
             here.list_machine("s-1", 1, ServerState.DRAINING)
@@ -51,10 +51,10 @@
             if news == "a failed call":
                 here.exchange.take_list(None)  # the one of before the stop, whose time is up
                 await here.settle()
-                assert claims == []
+                assert attempts == []
             here.clock.advance(DOUBT_MOST)
         assert await client.line() == b"UP 0a\r\n"
-        assert claims == ["s-2" if news == "draining" else "s-1"]
+        assert attempts == ["s-2" if news == "draining" else "s-1"]
         fresh = await here.client(opening("0b"))
         assert await fresh.line() == b"UP 0b\r\n", "trusted again"
         here.tasks.cancel_scope.cancel()
