--- a/tests/stage.py
+++ b/tests/stage.py
@@ -24,11 +24,11 @@
 from puffinford.core.exchange import Exchange
 from puffinford.core.values import Machine, MachineList, Opening
 from puffinford.fronts.channels import codec
+from puffinford.fronts.channels.client import ChannelClients
 from puffinford.fronts.channels.opening import encode_opening
 from puffinford.fronts.channels.server import ChannelServers
-from puffinford.fronts.channels.submitter import ChannelSubmitters
+from puffinford.fronts.lines.client import LineClients
 from puffinford.fronts.lines.server import LineServers
-from puffinford.fronts.lines.submitter import LineSubmitters
 from puffinford.fronts.sockets import ACCEPT_TURN, MGMT_MOST, Budget, Door, Wire, accept_all, bind
 from puffinford.interface import Effect, RequestClass, Server, ServerState, Settings
 from puffinford.management.calls import Calls, Extra
@@ -111,10 +111,10 @@
                 return message
 
     async def open(
-        self, number: int, job: str, window: int = 1_000, cls: str = "price-lookup", key: str = "7f3a"
+        self, number: int, request_id: str, window: int = 1_000, cls: str = "price-lookup", key: str = "7f3a"
     ) -> None:
         figures = (("c", cls), ("t", "a"), ("d", "2000"), ("g", "5c"), ("h", "1.5"))
-        extra = encode_opening(Opening.from_figures(job, key, figures), 2_000.0)
+        extra = encode_opening(Opening.from_figures(request_id, key, figures), 2_000.0)
         await self.say(codec.ChannelOpen(codec.JOB, number, window, 32_768, extra))
 
     async def confirm(self, window: int = 1_000) -> codec.ChannelOpen:
@@ -128,7 +128,7 @@
 
 
 class NoSource:
-    """A machine list that never changes; where `told` is set, one that is asked and may answer."""
+    """A server list that never changes; where `told` is set, one that is asked and may answer."""
 
     def __init__(self) -> None:
         self.told = False
@@ -197,7 +197,7 @@
     async def server(
         self, ident: str, script: Callable[[Peer], Awaitable[None]], front: str = "lines"
     ) -> None:
-        """A scripted server that is on the machine list from now on."""
+        """A scripted server that is on the server list from now on."""
 
         async def handle(stream: anyio.abc.SocketStream) -> None:
             await script(Peer(stream))
@@ -223,7 +223,7 @@
 
     def channel_port(self) -> int:
         """Where a channel front listens."""
-        return self.front(ChannelSubmitters(self.exchange, self.door).handle)
+        return self.front(ChannelClients(self.exchange, self.door).handle)
 
     async def channel_client(self) -> ChannelPeer:
         port = self.channel_port()
@@ -232,16 +232,16 @@
     async def wind_down(self) -> None:
         """Every client goes and every limit passes: then no request, leg or count may be left."""
         self.over = True
-        for job in list(self.exchange._jobs.values()):
-            self.tasks.start_soon(job.submitter.abort)
+        for request in list(self.exchange._requests.values()):
+            self.tasks.start_soon(request.client.abort)
         backends = self.exchange._balancer.known.backends.values()
         for _ in range(200):
             await self.settle()
-            if not self.exchange._jobs and not any(b.flows for b in backends):
+            if not self.exchange._requests and not any(b.flows for b in backends):
                 break
             self.clock.advance(100.0)
         left = {b.id: list(b.flows) for b in backends if b.flows}
-        assert not self.exchange._jobs and not left, (list(self.exchange._jobs), left)
+        assert not self.exchange._requests and not left, (list(self.exchange._requests), left)
         balancer = self.exchange._balancer
         assert not balancer._flows and not balancer._groups and balancer._proving == 0
         assert abs(balancer._load) < 1e-6
@@ -253,8 +253,8 @@
         return peer
 
 
-def opening(job: str = "0a", figures: bytes = b"c=price-lookup,t=a,d=2000,g=5c") -> bytes:
-    return b"OPEN " + job.encode() + b" 7f3a " + figures
+def opening(request_id: str = "0a", figures: bytes = b"c=price-lookup,t=a,d=2000,g=5c") -> bytes:
+    return b"OPEN " + request_id.encode() + b" 7f3a " + figures
 
 
 async def call(port: int, said: str | bytes) -> tuple[int, str]:
@@ -377,7 +377,7 @@
             tasks.start_soon(exchange.run, source)
             await anyio.wait_all_tasks_blocked()
             here = Stage(tasks, clock, exchange, Door(clock, budget), source)
-            clients = LineSubmitters(exchange, here.door)
+            clients = LineClients(exchange, here.door)
             here.port = here.front(clients.handle, turn_away=clients.turn_away)
             yield here
             if not tasks.cancel_scope.cancel_called:
