Compute docs/CAPACITY.md from results and targets, with a test that they agree

Cause: figures at the operators' size stood in an issue and in heads. Change: benchmarks/capacity reads typed targets (TOML) and the committed results, works out each role's state, messages, processor time and memory beside the budget, ranks what is over it and renders the page; make capacity. What has no series yet is called not measured on the page. Ruled out: a template language of our own (Jinja2, pinned among the tests' requirements), results copied into the page by hand.

--- /dev/null
+++ b/benchmarks/capacity/balancer.py
@@ -0,0 +1,209 @@
+"""The roles of one balancer: its control, and its data path."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from benchmarks.capacity.inputs import Inputs
+from benchmarks.capacity.quantity import Quantity, assumed, derived
+from benchmarks.capacity.roles import Kind, Mechanism, Role, Row, Status
+
+BUSY_CHANGES = 1.0  # changes a second at which control was measured beside its rest
+
+
+def control_core(inputs: Inputs, servers: int, changes_per_s: float) -> Quantity:
+    """Percent of a core that control takes, without clients."""
+    return inputs.measured.at("control.core_pct", "servers", servers, changes_per_s=changes_per_s)
+
+
+def control_memory(inputs: Inputs, servers: int) -> Quantity:
+    """Resident memory of a process without clients."""
+    return inputs.measured.at("control.resident_mib", "servers", servers)
+
+
+def control_bytes(inputs: Inputs, servers: int, changes_per_s: float) -> Quantity:
+    """Bytes a second that control sends and receives."""
+    return inputs.measured.at("control.bytes_per_s", "servers", servers, changes_per_s=changes_per_s)
+
+
+def control_calls(inputs: Inputs, servers: int, changes_per_s: float) -> Quantity:
+    """Calls a second of one balancer at the list service."""
+    return inputs.measured.at("control.calls_per_s", "servers", servers, changes_per_s=changes_per_s)
+
+
+def burst_time(inputs: Inputs, servers: int) -> Quantity:
+    """Processor time of the largest burst in the decision module, each change taken by itself."""
+    one_change = module(inputs, "one_change", servers)
+    return derived("s", lambda cost, changes: cost * changes, one_change, inputs.largest_burst)
+
+
+def control(inputs: Inputs) -> Role:
+    """Server list, watches and timers of one balancer."""
+    standing = inputs.connections_each.value or 0.0
+    rows = [row for servers in inputs.server_counts for row in _control_rows(inputs, servers)]
+    at_rest = inputs.measured.at("control.standing_core_pct", "standing", standing)
+    timers = inputs.measured.at("module.timers", "servers", inputs.server_counts[-1])
+    by_balancers = inputs.measured.at("module.place", "balancers", inputs.targets.fleet.balancers)
+    rows += [
+        Row(Kind.PROCESSOR, f"{standing:,.0f} connections at rest", at_rest, inputs.core_budget),
+        Row(Kind.PROCESSOR, f"timers once, {inputs.server_counts[-1]:,} servers", timers),
+        Row(Kind.PROCESSOR, f"placing once, {inputs.targets.fleet.balancers:,} balancers told", by_balancers),
+    ]
+    return Role(
+        "control",
+        "A balancer's control",
+        "Quantities are of a balancer.",
+        tuple(rows),
+        (
+            Mechanism("watch of the server list by long polling", Status.RUNS, "`machines/discovery`"),
+            Mechanism(
+                "bounded staleness of the list",
+                Status.RUNS,
+                "6 s, whatever calls fail; `docs/design-ends.md`",
+            ),
+            Mechanism("working set: each balancer uses a short prefix of the list", Status.RUNS, "`balance`"),
+            Mechanism(
+                "subsetting: a balancer is sent only the servers that it uses",
+                Status.MISSING,
+                "it holds the whole list; memory and one change grow with it",
+            ),
+        ),
+    )
+
+
+def _control_rows(inputs: Inputs, servers: int) -> list[Row]:
+    """The rows of control that depend on the number of servers."""
+    at = f"{servers:,} servers"
+
+    def busy(quantity: Callable[[Inputs, int, float], Quantity]) -> Quantity:
+        return quantity(inputs, servers, BUSY_CHANGES)
+
+    return [
+        Row(
+            Kind.STATE,
+            f"list in the decision module, {at}",
+            module(inputs, "list_bytes", servers),
+            inputs.memory_budget,
+        ),
+        Row(Kind.MESSAGES, f"calls, no change, {at}", control_calls(inputs, servers, 0.0)),
+        Row(Kind.PEAK, f"calls, a change a second, {at}", busy(control_calls)),
+        Row(Kind.BYTES, f"no change, {at}", control_bytes(inputs, servers, 0.0), inputs.bytes_budget),
+        Row(Kind.BYTES, f"a change a second, {at}", busy(control_bytes), inputs.bytes_budget),
+        Row(Kind.PROCESSOR, f"told mean of changes, {at}", mean_core(inputs, servers), inputs.core_budget),
+        Row(Kind.PROCESSOR, f"a change a second, {at}", busy(control_core), inputs.core_budget),
+        Row(Kind.PROCESSOR, f"whole list taken once, {at}", module(inputs, "whole_list", servers)),
+        Row(Kind.PROCESSOR, f"one change taken, {at}", module(inputs, "one_change", servers)),
+        Row(Kind.PROCESSOR, f"placing once, median, {at}", module(inputs, "place", servers)),
+        Row(Kind.PROCESSOR, f"placing once, 99 in 100, {at}", module(inputs, "place_p99", servers)),
+        Row(
+            Kind.MEMORY,
+            f"process without clients, {at}",
+            control_memory(inputs, servers),
+            inputs.memory_budget,
+        ),
+    ]
+
+
+def module(inputs: Inputs, series: str, servers: int) -> Quantity:
+    """A series of the decision module, by the number of servers."""
+    return inputs.measured.at(f"module.{series}", "servers", servers)
+
+
+def mean_core(inputs: Inputs, servers: int) -> Quantity:
+    """Percent of a core at the told mean rate of changes, on the line between rest and a change a second."""
+    rest = control_core(inputs, servers, 0.0)
+    busy = control_core(inputs, servers, BUSY_CHANGES)
+    part = derived("", lambda rate: min(1.0, rate / BUSY_CHANGES), inputs.changes_per_s)
+    return derived("%", lambda low, high, share: low + (high - low) * share, rest, busy, part)
+
+
+def data_path(inputs: Inputs) -> Role:
+    """Connections and delivered lines of one balancer."""
+    standing = inputs.connections_each.value or 0.0
+    peak = derived(
+        "/s", lambda rate, times: rate * times, inputs.deliveries_each, inputs.assumed("peak_over_mean")
+    )
+    peak_cores = derived("cores", lambda rate, cost: rate * cost, peak, inputs.line_cost)
+    in_module = inputs.measured.at("module.standing_bytes", "standing", standing)
+    placing = inputs.measured.at("module.place_own_groups", "standing", standing)
+    memory = connections_memory(inputs)
+    at_rest = inputs.measured.at("control.standing_resident_mib", "standing", standing)
+    machine_memory = inputs.assumed("machine_memory_gb")
+    return Role(
+        "data",
+        "A balancer's data path",
+        "Quantities are of a balancer.",
+        (
+            Row(Kind.STATE, "its connections in the decision module", in_module),
+            Row(Kind.MESSAGES, "deliveries", inputs.deliveries_each),
+            Row(Kind.PEAK, "deliveries", peak),
+            Row(
+                Kind.PROCESSOR,
+                "deliveries, mean, beside one process",
+                inputs.data_cores,
+                inputs.process_cores,
+            ),
+            Row(Kind.PROCESSOR, "deliveries, peak, beside one core", peak_cores, assumed(1.0, "cores")),
+            Row(Kind.PROCESSOR, "placing one connection, each with a group of its own", placing),
+            Row(
+                Kind.MEMORY,
+                "its connections, beside one machine",
+                memory,
+                inputs.assumed("machine_memory_gb"),
+            ),
+            Row(Kind.MEMORY, "one connection", inputs.connection_memory),
+            Row(Kind.MEMORY, "a process with as many at rest, beside one machine", at_rest, machine_memory),
+        ),
+        (
+            Mechanism(
+                "one event loop on one core, a task for each direction",
+                Status.RUNS,
+                "`core/exchange`, `fronts`",
+            ),
+            Mechanism("listening socket handed to the next version", Status.RUNS, "`management/versions`"),
+            Mechanism(
+                "sharding by process: several accept at one address, each with connections of its own",
+                Status.MISSING,
+                "several run beside one another today as balancers of their own",
+            ),
+            Mechanism(
+                "accept balancing in the kernel (SO_REUSEPORT)", Status.ELSEWHERE, "the operating system's"
+            ),
+        ),
+    )
+
+
+def connections_memory(inputs: Inputs) -> Quantity:
+    """Resident memory of a balancer's standing connections, in all of its processes together."""
+    return derived("B", lambda count, each: count * each, inputs.connections_each, inputs.connection_memory)
+
+
+def data_figures(inputs: Inputs) -> dict[str, Quantity]:
+    """How many processes and machines a balancer is."""
+    processes = inputs.processes_each
+    machine_cores = inputs.assumed("machine_cores")
+    lines_rate = derived("/s", lambda most, cost: most / cost, inputs.process_cores, inputs.line_cost)
+    by_cores = derived("machines", lambda count, cores: count / cores, processes, machine_cores)
+    memory = connections_memory(inputs)
+    by_memory = derived(
+        "machines", lambda bytes_, most: bytes_ / most, memory, inputs.assumed("machine_memory_gb")
+    )
+    all_processes = derived("processes", lambda each, count: each * count, processes, inputs.balancers)
+    list_copy = control_memory(inputs, inputs.server_counts[-1])
+    return {
+        "data.processes_each": processes,
+        "data.processes_all": all_processes,
+        "data.rate_of_a_process": lines_rate,
+        "data.connections_of_a_process": derived(
+            "connections", lambda count, parts: count / parts, inputs.connections_each, processes
+        ),
+        "data.machines_by_cores": by_cores,
+        "data.machines_by_memory": by_memory,
+        "data.memory": memory,
+        "data.memory_of_a_process": derived("B", lambda all_, parts: all_ / parts, memory, processes),
+        "data.control_memory_of_all": derived("B", lambda one, parts: one * parts, list_copy, processes),
+        "data.cores": inputs.data_cores,
+        "data.line": inputs.line_cost,
+        "data.connections_each": inputs.connections_each,
+        "data.deliveries_each": inputs.deliveries_each,
+    }
--- /dev/null
+++ b/benchmarks/capacity/configuration.py
@@ -0,0 +1,109 @@
+"""Changes of configuration: how many, how they reach each balancer, and what they cost there."""
+
+from __future__ import annotations
+
+from benchmarks.capacity.balancer import burst_time
+from benchmarks.capacity.inputs import PERCENT, Inputs
+from benchmarks.capacity.quantity import Quantity, derived, told
+from benchmarks.capacity.roles import Kind, Mechanism, Role, Row, Status
+
+
+def day_log(inputs: Inputs) -> Quantity:
+    """All changes of a day."""
+    a_day = told(inputs.targets.changes.per_day, "")
+    return derived("B", lambda changes, size: changes * size, a_day, inputs.assumed("change_bytes"))
+
+
+def burst_bytes(inputs: Inputs) -> Quantity:
+    """Bytes a second of a balancer while the largest burst comes into force in time."""
+    return derived(
+        "B/s",
+        lambda changes, size, within: changes * size / within,
+        inputs.largest_burst,
+        inputs.assumed("change_bytes"),
+        inputs.in_force_within,
+    )
+
+
+def direct_answers(inputs: Inputs) -> Quantity:
+    """Answers a second in the mean, if each change is sent to each balancer by itself."""
+    return derived("/s", lambda rate, count: rate * count, inputs.changes_per_s, inputs.balancers)
+
+
+def coalesced(inputs: Inputs) -> Quantity:
+    """Messages a second that a balancer gets at most, however many changes come."""
+    return derived("/s", lambda gather: 1.0 / gather, inputs.assumed("relay_coalesce_ms"))
+
+
+def burst_core(inputs: Inputs, servers: int) -> Quantity:
+    """Percent of a core over the told time, while the largest burst is taken change by change."""
+    return derived(
+        "%", lambda time, within: time / within * PERCENT, burst_time(inputs, servers), inputs.in_force_within
+    )
+
+
+def configuration(inputs: Inputs) -> Role:
+    """What changes of configuration ask of a balancer."""
+    mean_bytes = derived(
+        "B/s", lambda rate, size: rate * size, inputs.changes_per_s, inputs.assumed("change_bytes")
+    )
+    peak = derived(
+        "/s", lambda changes, within: changes / within, inputs.largest_burst, inputs.in_force_within
+    )
+    rows = [
+        Row(Kind.STATE, "log of a day's changes", day_log(inputs), inputs.memory_budget),
+        Row(
+            Kind.MEMORY,
+            "the same, held by a balancer for who was away",
+            day_log(inputs),
+            inputs.memory_budget,
+        ),
+        Row(Kind.MESSAGES, "changes", inputs.changes_per_s),
+        Row(Kind.PEAK, "largest burst, within the told time", peak),
+        Row(Kind.PEAK, "the same, coalesced", coalesced(inputs)),
+        Row(
+            Kind.MESSAGES,
+            "answers of one list service to all, directly",
+            direct_answers(inputs),
+            inputs.list_rate,
+        ),
+        Row(Kind.BYTES, "changes, mean", mean_bytes, inputs.bytes_budget),
+        Row(Kind.BYTES, "largest burst, while it lasts", burst_bytes(inputs), inputs.bytes_budget),
+    ]
+    rows += [
+        Row(
+            Kind.PROCESSOR,
+            f"largest burst in the decision module, {servers:,} servers, while it lasts",
+            burst_core(inputs, servers),
+            inputs.core_budget,
+        )
+        for servers in inputs.server_counts
+    ]
+    return Role(
+        "configuration",
+        "Configuration",
+        "Quantities are of a balancer.",
+        tuple(rows),
+        (
+            Mechanism("reload of the whole file, all of it or nothing", Status.RUNS, "SIGHUP"),
+            Mechanism("changes of the server list by version", Status.RUNS, "watch, then only what changed"),
+            Mechanism(
+                "versioned configuration by watch, last good one kept",
+                Status.MISSING,
+                "files are brought by hand or by another system",
+            ),
+            Mechanism("replicated store with watches, by consensus", Status.ELSEWHERE, "the source of both"),
+        ),
+    )
+
+
+def configuration_figures(inputs: Inputs) -> dict[str, Quantity]:
+    """What the chapter on configuration quotes."""
+    return {
+        "configuration.mean": inputs.changes_per_s,
+        "configuration.burst": inputs.largest_burst,
+        "configuration.burst_bytes": burst_bytes(inputs),
+        "configuration.direct": direct_answers(inputs),
+        "configuration.coalesced": coalesced(inputs),
+        "configuration.log": day_log(inputs),
+    }
--- /dev/null
+++ b/benchmarks/capacity/inputs.py
@@ -0,0 +1,137 @@
+"""What all roles reckon with: targets, measurements, and the parts of a balancer and a control machine."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from functools import cached_property
+
+from benchmarks.capacity.measurements import Measurements
+from benchmarks.capacity.quantity import Quantity, assumed, derived, told
+from benchmarks.capacity.targets import Targets
+from puffinford.machines.discovery import WAIT
+
+DAY_S = 86_400.0
+PERCENT = 100.0
+
+
+@dataclass(frozen=True)
+class Inputs:
+    """One fleet's targets and the results; what follows from both in one step."""
+
+    targets: Targets
+    measured: Measurements
+
+    def assumed(self, name: str) -> Quantity:
+        """An assumption, by its name in the file of targets."""
+        return self.targets.assumed.quantity(name)
+
+    @property
+    def server_counts(self) -> list[int]:
+        return self.targets.assumed.server_counts
+
+    @cached_property
+    def most_servers(self) -> Quantity:
+        """The greatest of the assumed numbers of servers."""
+        return assumed(self.server_counts[-1], "servers")
+
+    @cached_property
+    def balancers(self) -> Quantity:
+        return told(self.targets.fleet.balancers, "balancers")
+
+    @cached_property
+    def zones(self) -> Quantity:
+        return told(self.targets.fleet.zones, "zones")
+
+    @cached_property
+    def control_machines(self) -> Quantity:
+        return told(self.targets.budget.machines, "machines")
+
+    @cached_property
+    def connections_each(self) -> Quantity:
+        """Standing connections of a balancer."""
+        fleet = self.targets.fleet
+        return told(fleet.connections / fleet.balancers, "connections")
+
+    @cached_property
+    def deliveries_each(self) -> Quantity:
+        """Deliveries a second of a balancer, in the mean."""
+        fleet = self.targets.fleet
+        return told(fleet.deliveries_per_s / fleet.balancers, "/s")
+
+    @cached_property
+    def changes_per_s(self) -> Quantity:
+        """Changes of configuration a second, in the mean of a day."""
+        return told(self.targets.changes.per_day / DAY_S, "/s")
+
+    @cached_property
+    def in_force_within(self) -> Quantity:
+        return told(self.targets.changes.in_force_within_s, "s")
+
+    @cached_property
+    def largest_burst(self) -> Quantity:
+        return told(max(self.targets.changes.bursts), "changes")
+
+    @cached_property
+    def core_budget(self) -> Quantity:
+        return told(self.targets.budget.core_pct, "%")
+
+    @cached_property
+    def memory_budget(self) -> Quantity:
+        return told(self.targets.budget.memory_mb * 1e6, "B")
+
+    @cached_property
+    def bytes_budget(self) -> Quantity:
+        return told(self.targets.budget.bytes_per_s, "B/s")
+
+    @cached_property
+    def watch_wait(self) -> Quantity:
+        """For how long a balancer's watch waits at the list service: set in this program."""
+        return told(WAIT / 1_000.0, "s")
+
+    @cached_property
+    def list_rate(self) -> Quantity:
+        """Calls a second that the one list service answers."""
+        return derived("/s", lambda service: 1.0 / service, self.assumed("list_service_ms"))
+
+    @cached_property
+    def line_cost(self) -> Quantity:
+        """Processor time of one delivered line."""
+        return self.measured.each(
+            "data.line_us", self.targets.fleet.deliveries_per_s / self.targets.fleet.balancers
+        )
+
+    @cached_property
+    def connection_memory(self) -> Quantity:
+        """Resident memory of one standing connection in a process."""
+        return self.measured.each("data.connection_kib", self.connections_each.value or 0.0)
+
+    @cached_property
+    def data_cores(self) -> Quantity:
+        """Cores that a balancer's deliveries take, in the mean."""
+        return derived("cores", lambda rate, cost: rate * cost, self.deliveries_each, self.line_cost)
+
+    @cached_property
+    def process_cores(self) -> Quantity:
+        """The part of its one core that a process may be busy."""
+        return derived("cores", lambda part: part / PERCENT, self.assumed("process_core_pct"))
+
+    @cached_property
+    def processes_each(self) -> Quantity:
+        """Processes of ours that carry one balancer's deliveries."""
+        return derived(
+            "processes",
+            lambda cores, most: max(1, math.ceil(cores / most)),
+            self.data_cores,
+            self.process_cores,
+        )
+
+    @cached_property
+    def assumed_cores(self) -> Quantity:
+        """Cores of one machine."""
+        return assumed(self.targets.assumed.machine_cores.value, "cores")
+
+    def per_control_machine(self, quantity: Quantity, lost: int = 0) -> Quantity:
+        """A quantity of the fleet, shared evenly by the control machines that are left."""
+        left = told(max(1, self.targets.budget.machines - lost), "machines")
+        return derived(quantity.unit, lambda whole, machines: whole / machines, quantity, left)
--- /dev/null
+++ b/benchmarks/capacity/lists.py
@@ -0,0 +1,235 @@
+"""The list service and what fans its changes out: directly, or by relays on the machines for control."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from benchmarks.capacity.balancer import control_calls
+from benchmarks.capacity.inputs import PERCENT, Inputs
+from benchmarks.capacity.quantity import Quantity, derived, told, total
+from benchmarks.capacity.roles import Kind, Mechanism, Role, Row, Status
+
+RELAYS = "watch relays in one or two tiers"
+TOP_TIER = 2  # relays that alone watch the source, in the arithmetic of two tiers
+HOUR_S = 3_600.0
+DAY_S = 86_400.0
+# Balancer's watch at relays (`docs/design-relay.md`): slack, jitter and the call that goes beside a late one.
+LATE_S, JITTER_S, BESIDE_S = 0.4, 0.1, 1.0
+AGE_BOUND_S = 6.0  # a change counts as told so long after discovery had it, whatever calls failed
+
+
+def idle_calls(inputs: Inputs) -> Quantity:
+    """Calls a second at one list service when nothing changes: each watch asks anew after its wait."""
+    return derived("/s", lambda count, wait: count / wait, inputs.balancers, inputs.watch_wait)
+
+
+def measured_idle_calls(inputs: Inputs) -> Quantity:
+    """The same by the calls that one real process was measured to make."""
+    each = control_calls(inputs, inputs.server_counts[0], 0.0)
+    return derived("/s", lambda count, rate: count * rate, inputs.balancers, each)
+
+
+def direct_time(inputs: Inputs) -> Quantity:
+    """Until the last balancer has a change, where one list service answers each of them."""
+    return derived("s", lambda count, rate: count / rate, inputs.balancers, inputs.list_rate)
+
+
+def whole_list(inputs: Inputs) -> Quantity:
+    """A whole list on the wire, with the most servers."""
+    count = inputs.server_counts[-1]
+    return derived("B", lambda size: size * count, inputs.assumed("change_bytes"))
+
+
+def measured_told(inputs: Inputs, part: str) -> Quantity:
+    """`list.told_...` at all balancers, at a list service as slow as the assumed one."""
+    service_ms = inputs.targets.assumed.list_service_ms.value
+    balancers = inputs.targets.fleet.balancers
+    return inputs.measured.at(f"list.told_{part}", "watchers", balancers, service_ms=service_ms)
+
+
+def reset_time(inputs: Inputs) -> Quantity:
+    """Until the last balancer has a list again after all watches were reset at once."""
+    return inputs.measured.at("failure.reset_all_last", "watchers", inputs.targets.fleet.balancers)
+
+
+def service(inputs: Inputs, relay_status: Status) -> Role:
+    """The list service as all balancers ask it directly, which is what ran first."""
+    balancers = inputs.targets.fleet.balancers
+    all_lists = derived("B", lambda size, count: size * count, whole_list(inputs), inputs.balancers)
+    call_cost = inputs.measured.each("list.call_us", balancers)
+    idle_core = derived("%", lambda cost, rate: cost * rate * PERCENT, call_cost, idle_calls(inputs))
+    day_log = derived(
+        "B",
+        lambda changes, size: changes * size,
+        told(inputs.targets.changes.per_day, ""),
+        inputs.assumed("change_bytes"),
+    )
+    one_core = told(PERCENT, "%")
+    rows = (
+        Row(Kind.STATE, f"whole list on the wire, {inputs.server_counts[-1]:,} servers", whole_list(inputs)),
+        Row(Kind.MESSAGES, "calls, nothing changes, directly", idle_calls(inputs), inputs.list_rate),
+        Row(
+            Kind.MESSAGES,
+            "the same by the measured calls of one process",
+            measured_idle_calls(inputs),
+            inputs.list_rate,
+        ),
+        Row(
+            Kind.PEAK,
+            "answers for one change, all within the told time",
+            peak_answers(inputs),
+            inputs.list_rate,
+        ),
+        Row(Kind.BYTES, "sent, all balancers", inputs.measured.at("list.bytes_per_s", "watchers", balancers)),
+        Row(
+            Kind.BYTES,
+            "whole lists to all after a reset, within the told time",
+            reset_bytes(inputs, all_lists),
+        ),
+        Row(Kind.PROCESSOR, "idle calls by the time of one, beside one core", idle_core, one_core),
+        Row(Kind.PROCESSOR, "measured", inputs.measured.at("list.core_pct", "watchers", balancers), one_core),
+        Row(Kind.MEMORY, "log of a day's changes", day_log),
+        Row(
+            Kind.TIME,
+            "one change at the last balancer, directly",
+            direct_time(inputs),
+            inputs.in_force_within,
+        ),
+        Row(Kind.TIME, "the same measured", measured_told(inputs, "last"), inputs.in_force_within),
+        Row(Kind.TIME, "the same measured, median", measured_told(inputs, "p50"), inputs.in_force_within),
+        Row(
+            Kind.TIME, "the same measured, at 99 in 100", measured_told(inputs, "p99"), inputs.in_force_within
+        ),
+        Row(
+            Kind.TIME,
+            "a list at the last one after all watches were reset",
+            reset_time(inputs),
+            inputs.in_force_within,
+        ),
+    )
+    return Role(
+        "lists",
+        "List service, and what fans changes out",
+        "Quantities are of all balancers.",
+        rows,
+        (
+            Mechanism("replicated store with watches, by consensus", Status.ELSEWHERE, "met as a stand-in"),
+            Mechanism("watch by long polling", Status.RUNS, "`machines/discovery`"),
+            Mechanism(RELAYS, relay_status, "chapter below"),
+            Mechanism("exponential backoff with full jitter after a failed call", Status.RUNS, "`balance`"),
+        ),
+    )
+
+
+def peak_answers(inputs: Inputs) -> Quantity:
+    """Answers a second that one change takes, if all are to be sent within the told time."""
+    return derived("/s", lambda count, within: count / within, inputs.balancers, inputs.in_force_within)
+
+
+def reset_bytes(inputs: Inputs, all_lists: Quantity) -> Quantity:
+    """Bytes a second, if all balancers get whole lists within the told time."""
+    return derived("B/s", lambda size, within: size / within, all_lists, inputs.in_force_within)
+
+
+@dataclass(frozen=True)
+class RelayLoad:
+    """What the relays left carry, spread evenly over them."""
+
+    title: str
+    relays: Quantity
+    balancers: Quantity  # a relay
+    idle_calls: Quantity  # a relay, from below
+    core: Quantity  # a relay, for its idle calls
+    answer_time: Quantity  # of one change to all of its balancers, processor time
+    upstream_calls: Quantity  # at the source, from all relays that watch it
+    upstream_time: Quantity  # until the source has answered all of them
+    told_last: Quantity  # coalescing, source and answers together
+
+
+def relay_load(
+    inputs: Inputs, title: str, relays: float, upstream: float, clients: float | None = None
+) -> RelayLoad:
+    """The load with so many relays that answer balancers, of which `upstream` watch the source."""
+    fleet = inputs.balancers if clients is None else told(clients, "balancers")
+    count = told(relays, "relays")
+    watching = told(upstream, "relays")
+    each = derived("balancers", lambda whole, parts: whole / parts, fleet, count)
+    calls = derived("/s", lambda below, wait: below / wait, each, inputs.assumed("relay_wait_ms"))
+    cost = inputs.measured.each("list.call_us", each.value or 0.0)
+    core = derived("%", lambda rate, time: rate * time * PERCENT, calls, cost)
+    answers = derived("s", lambda below, time: below * time, each, cost)
+    upstream_calls = derived(
+        "/s", lambda above, wait: above / wait, watching, inputs.assumed("relay_upstream_wait_ms")
+    )
+    upstream_time = derived(
+        "s", lambda above, service: above * service, watching, inputs.assumed("list_service_ms")
+    )
+    told_last = total(inputs.assumed("relay_coalesce_ms"), upstream_time, answers)
+    return RelayLoad(title, count, each, calls, core, answers, upstream_calls, upstream_time, told_last)
+
+
+def relay_loads(inputs: Inputs) -> list[RelayLoad]:
+    """One and two tiers, half of the machines lost, one region by itself and with half of its own lost."""
+    machines = inputs.targets.budget.machines
+    regions = inputs.targets.fleet.regions
+    half = max(1, machines // 2)
+    below = max(1, machines - TOP_TIER)
+    region = machines / regions
+    clients = inputs.targets.fleet.balancers / regions
+    left = max(1.0, float(int(region / 2.0)))
+    return [
+        relay_load(inputs, f"one tier, all {machines}", machines, machines),
+        relay_load(inputs, f"one tier, {half} left", half, half),
+        relay_load(inputs, f"two tiers, {TOP_TIER} above {below}", below, TOP_TIER),
+        relay_load(inputs, f"two tiers, half left, 1 above {max(1, half - 1)}", max(1, half - 1), 1),
+        relay_load(inputs, "one region by itself", region, region, clients),
+        relay_load(inputs, f"one region, {left:.0f} left", left, left, clients),
+    ]
+
+
+def list_figures(inputs: Inputs) -> dict[str, Quantity]:
+    """What the chapters on lists and on an hour apart quote."""
+    hour = derived(
+        "changes",
+        lambda rate, time: rate * time,
+        inputs.changes_per_s,
+        told(inputs.targets.failures.apart_s, "s"),
+    )
+    hour_log = derived("B", lambda changes, size: changes * size, hour, inputs.assumed("change_bytes"))
+    failures = inputs.targets.failures
+    a_day = failures.machines_per_day + failures.restarts_per_day
+    max_age = inputs.assumed("relay_max_age_ms")
+    silent = derived("s", lambda wait: wait + LATE_S + JITTER_S, inputs.assumed("relay_wait_ms"))
+    beside = told(BESIDE_S + JITTER_S, "s")
+    all_lists = derived("B", lambda size, count: size * count, whole_list(inputs), inputs.balancers)
+    return {
+        "lists.idle_calls": idle_calls(inputs),
+        "lists.wait": inputs.watch_wait,
+        "lists.rate": inputs.list_rate,
+        "lists.service": inputs.assumed("list_service_ms"),
+        "lists.direct_time": direct_time(inputs),
+        "lists.within": inputs.in_force_within,
+        "lists.balancers": inputs.balancers,
+        "lists.whole": whole_list(inputs),
+        "lists.whole_all": all_lists,
+        "lists.whole_per_machine": inputs.per_control_machine(all_lists),
+        "lists.whole_share": derived(
+            "s", lambda size, rate: size / rate, whole_list(inputs), inputs.bytes_budget
+        ),
+        "lists.coalesce": inputs.assumed("relay_coalesce_ms"),
+        "lists.max_age": max_age,
+        "lists.silent": silent,
+        "lists.beside": beside,
+        "lists.age_most": total(max_age, silent, beside),
+        "lists.age_bound": told(AGE_BOUND_S, "s"),
+        "apart.time": told(failures.apart_s, "s"),
+        "apart.changes": hour,
+        "apart.log": hour_log,
+        "apart.machines": told(a_day * failures.apart_s / DAY_S, "machines"),
+        "apart.machines_a_region": told(
+            a_day * failures.apart_s / DAY_S / inputs.targets.fleet.regions, "machines"
+        ),
+        "control.per_region": told(inputs.targets.budget.machines / inputs.targets.fleet.regions, "machines"),
+        "control.machines": inputs.control_machines,
+        "control.half": told(inputs.targets.budget.machines // 2, "machines"),
+    }
--- /dev/null
+++ b/benchmarks/capacity/model.py
@@ -0,0 +1,118 @@
+"""A fleet's capacity: all roles, chapters and the ranking, from targets and results. No I/O."""
+
+from __future__ import annotations
+
+import importlib.util
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from benchmarks.capacity import (
+    balancer,
+    configuration,
+    delivery,
+    detection,
+    lists,
+    ranking,
+    reconnecting,
+    shards,
+)
+from benchmarks.capacity.inputs import Inputs
+from benchmarks.capacity.measurements import Measurements
+from benchmarks.capacity.quantity import Quantity
+from benchmarks.capacity.roles import Ranked, Role, Status
+from benchmarks.capacity.targets import Targets
+from benchmarks.scale.records import RunResults, ScaleRun, SlopeResults
+
+RELAY_PACKAGE = "puffinford.relay"
+
+
+@dataclass(frozen=True)
+class Capacity:
+    """Everything that the page shows of one fleet."""
+
+    targets: Targets
+    slopes: SlopeResults | None
+    runs: list[ScaleRun]
+    roles: list[Role]
+    figures: dict[str, Quantity]  # that the text quotes, by name
+    hops: list[delivery.Hop]
+    ways: list[shards.Way]
+    loads: list[lists.RelayLoad]
+    losses: list[reconnecting.Loss]
+    ranking: list[Ranked]
+
+    @property
+    def first(self) -> Ranked | None:
+        """The ranked quantity whose mechanism is built first."""
+        return ranking.first(self.ranking)
+
+    @property
+    def above_first(self) -> list[Ranked]:
+        """What is further over its budget than that."""
+        built = self.first
+        return self.ranking[: self.ranking.index(built)] if built else []
+
+    def quantities(self) -> Iterator[Quantity]:
+        """All quantities that the page may show, with the parts of its tables."""
+        yield from self.figures.values()
+        for role in self.roles:
+            yield from (row.quantity for row in role.rows)
+        for hop in self.hops:
+            yield hop.time
+        for load in self.loads:
+            yield load.told_last
+        for entry in self.ranking:
+            yield entry.quantity
+
+    @property
+    def missing(self) -> list[str]:
+        """What has not been measured and the page would show."""
+        return sorted({series for one in self.quantities() for series in one.missing})
+
+
+def capacity(
+    targets: Targets, slopes: SlopeResults | None, runs: RunResults | None, relay: Status | None = None
+) -> Capacity:
+    """The capacity of a fleet; `relay` says how far the relay of lists has come, by default as it stands."""
+    inputs = Inputs(targets, Measurements(slopes))
+    shown = runs.runs if runs else []
+    relay = relay or relay_status(shown)
+    figures: dict[str, Quantity] = {}
+    for part in (
+        balancer.data_figures,
+        lists.list_figures,
+        shards.shard_figures,
+        delivery.delivery_figures,
+        detection.detection_figures,
+        configuration.configuration_figures,
+        reconnecting.reconnecting_figures,
+    ):
+        figures |= part(inputs)
+    return Capacity(
+        targets=targets,
+        slopes=slopes,
+        runs=shown,
+        roles=[
+            balancer.control(inputs),
+            balancer.data_path(inputs),
+            lists.service(inputs, relay),
+            shards.holder(inputs),
+            delivery.delivery(inputs),
+            detection.detection(inputs),
+            configuration.configuration(inputs),
+            reconnecting.reconnecting(inputs),
+        ],
+        figures=figures,
+        hops=delivery.tree(inputs),
+        ways=shards.ways(inputs),
+        loads=lists.relay_loads(inputs),
+        losses=reconnecting.losses(inputs),
+        ranking=ranking.ranking(inputs),
+    )
+
+
+def relay_status(runs: list[ScaleRun]) -> Status:
+    """Runs here once a run with relays held its size; begun where there is a package of it."""
+    if any(run.relays > 0 and run.held for run in runs):
+        return Status.RUNS
+    return Status.BEGUN if importlib.util.find_spec(RELAY_PACKAGE) else Status.MISSING
--- /dev/null
+++ b/benchmarks/capacity/page.py
@@ -0,0 +1,294 @@
+"""The page as Markdown: the text of `page.md.j2`, with every table and figure computed."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+
+import jinja2
+
+from benchmarks.capacity.delivery import Hop
+from benchmarks.capacity.lists import RelayLoad
+from benchmarks.capacity.model import Capacity
+from benchmarks.capacity.quantity import Quantity, number, scaled, total
+from benchmarks.capacity.reconnecting import Loss
+from benchmarks.capacity.roles import Mechanism, Ranked, Role
+from benchmarks.capacity.shards import Way
+from benchmarks.capacity.targets import Assumptions, unit_of
+from benchmarks.scale.records import Fit, Provenance, ScaleRun
+
+TEMPLATE = "page.md.j2"
+NONE = "-"
+LEAST_SHOWN = 0.01  # of multiples
+
+
+def render(capacity: Capacity) -> str:
+    """The whole page. Raises jinja2.UndefinedError where the text quotes a figure that there is not."""
+    environment = jinja2.Environment(
+        loader=jinja2.FileSystemLoader(Path(__file__).parent),
+        undefined=jinja2.StrictUndefined,
+        trim_blocks=True,
+        lstrip_blocks=True,
+        keep_trailing_newline=True,
+        autoescape=False,  # Markdown for a page of ours, from files of ours
+    )
+    environment.globals.update(
+        role_table=role_table,
+        mechanism_table=mechanism_table,
+        ranking_table=ranking_table,
+        way_table=way_table,
+        hop_table=hop_table,
+        loss_table=loss_table,
+        load_table=load_table,
+        run_table=run_table,
+        fit_table=fit_table,
+        provenance_table=provenance_table,
+        assumption_table=assumption_table,
+        number=number,
+    )
+    roles = {role.key: role for role in capacity.roles}
+    return environment.get_template(TEMPLATE).render(capacity=capacity, q=capacity.figures, roles=roles)
+
+
+def markdown_table(heads: Iterable[str], rows: Iterable[Iterable[str]]) -> str:
+    """A table; a bar within a cell is escaped."""
+    names = list(heads)
+    lines = [names, ["---"] * len(names), *([cell.replace("|", "\\|") for cell in row] for row in rows)]
+    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
+
+
+def times(quantity: Quantity | None) -> str:
+    """A multiple of a budget."""
+    if quantity is None:
+        return NONE
+    if quantity.value is None:
+        return str(quantity)
+    small = quantity.value < LEAST_SHOWN
+    shown = f"under {LEAST_SHOWN}" if small else number(quantity.value)
+    return f"{shown} ({quantity.mark})"
+
+
+def role_table(role: Role) -> str:
+    """The quantities of a role, beside their budgets."""
+    return markdown_table(
+        ("kind", "quantity", "value", "budget", "multiple of it"),
+        (
+            (row.kind.value, row.name, str(row.quantity), str(row.budget or NONE), times(row.multiple))
+            for row in role.rows
+        ),
+    )
+
+
+def mechanism_table(mechanisms: Iterable[Mechanism]) -> str:
+    """The mechanisms of a role."""
+    return markdown_table(
+        ("mechanism", "it", "remark"),
+        ((one.term, f"*{one.status.value}*", one.remark) for one in mechanisms),
+    )
+
+
+def ranking_table(entries: Iterable[Ranked]) -> str:
+    """What is over its budget by today's mechanisms, the greatest first."""
+    return markdown_table(
+        ("multiple", "quantity", "value", "budget", "carried by", "remark"),
+        (
+            (
+                times(entry.multiple),
+                entry.name,
+                str(entry.quantity),
+                str(entry.budget),
+                entry.carrier.value,
+                entry.verdict,
+            )
+            for entry in entries
+        ),
+    )
+
+
+def way_table(ways: Iterable[Way]) -> str:
+    """How a balancer learns who serves a shard."""
+    return markdown_table(
+        (
+            "way",
+            "state of a balancer",
+            "bytes, mean",
+            "news of a lost zone, at the budget",
+            "its age",
+            "verdict",
+        ),
+        ((way.name, str(way.state), str(way.mean), str(way.zone), way.age, way.verdict) for way in ways),
+    )
+
+
+def hop_table(hops: list[Hop]) -> str:
+    """The tree of deliveries, with its sum."""
+    rows = [
+        (
+            hop.name,
+            hop.nodes.amount,
+            hop.children.amount,
+            str(hop.sending),
+            str(hop.way),
+            str(hop.queue),
+            str(hop.time),
+        )
+        for hop in hops
+    ]
+    sums = [total(*(getattr(hop, part) for hop in hops)) for part in ("sending", "way", "queue", "time")]
+    rows.append(("together", "", "", str(sums[0]), str(sums[1]), str(sums[2]), str(sums[3])))
+    return markdown_table(
+        ("hop", "receivers", "children of a sender", "sending", "way", "queue, 99 in 100", "hop"), rows
+    )
+
+
+def loss_table(losses: Iterable[Loss]) -> str:
+    """What a lost rack, zone and region bring back to the others."""
+    return markdown_table(
+        (
+            "lost",
+            "clients",
+            "at each balancer left",
+            "it then holds",
+            "all back, no cryptography",
+            "with cryptography",
+            "fleet admits",
+            "jitter over",
+        ),
+        (
+            (
+                one.name,
+                one.clients.amount,
+                one.each.amount,
+                one.held.amount,
+                str(one.plain),
+                str(one.encrypted),
+                str(one.admission),
+                str(one.window),
+            )
+            for one in losses
+        ),
+    )
+
+
+def load_table(loads: Iterable[RelayLoad]) -> str:
+    """What relays carry."""
+    return markdown_table(
+        (
+            "relays",
+            "balancers each",
+            "calls each, idle",
+            "of a core",
+            "answers of one change",
+            "calls at the source",
+            "source answers all in",
+            "a change at the last",
+        ),
+        (
+            (
+                one.title,
+                number(one.balancers.value or 0.0),
+                str(one.idle_calls),
+                str(one.core),
+                str(one.answer_time),
+                str(one.upstream_calls),
+                str(one.upstream_time),
+                str(one.told_last),
+            )
+            for one in loads
+        ),
+    )
+
+
+def run_table(runs: Iterable[ScaleRun]) -> str:
+    """Runs of hollow balancers beside real ones, as committed."""
+    heads = (
+        "story", "relays", "hollow", "real", "processes", "servers", "service",
+        "p50", "p99", "last", "without it", "real p99", "real last", "calls at the source", "peak", "sent",
+        "source's core", "balancer's calls", "bytes", "hollow's core", "real's core", "real's memory",
+        "relay's core, most", "relay's memory", "held",
+    )  # fmt: skip
+    return markdown_table(heads, (run_row(run) for run in runs))
+
+
+def run_row(run: ScaleRun) -> tuple[str, ...]:
+    """One run; figures are measured, of one core and of seconds after the change at the source."""
+    ours, theirs = run.told_hollow, run.told_real
+    relays = run.relays > 0
+    return (
+        run.story,
+        str(run.relays),
+        number(run.hollow),
+        number(run.real),
+        str(run.processes),
+        number(run.servers),
+        f"{number(run.service_ms)} ms",
+        f"{number(ours.p50_s)} s",
+        f"{number(ours.p99_s)} s",
+        f"{number(ours.last_s)} s",
+        number(ours.missed + theirs.missed),
+        f"{number(theirs.p99_s)} s",
+        f"{number(theirs.last_s)} s",
+        scaled(run.source_calls_per_s, "/s"),
+        scaled(run.source_calls_peak, "/s"),
+        scaled(run.source_bytes_per_s, "B/s"),
+        scaled(run.source_core_pct, "%"),
+        scaled(run.calls_per_balancer_s, "/s"),
+        scaled(run.bytes_per_balancer_s, "B/s"),
+        scaled(run.hollow_core_pct, "%"),
+        scaled(run.real_core_pct, "%"),
+        f"{number(run.real_mib)} MiB",
+        scaled(run.relay_core_pct_most, "%") if relays else NONE,
+        f"{number(run.relay_mib)} MiB" if relays else NONE,
+        "yes" if run.held else "**no**",
+    )
+
+
+def fit_table(fits: Iterable[Fit]) -> str:
+    """The fitted lines."""
+    return markdown_table(
+        ("series", "over", "fixed", "range", "slope", "of single runs", "intercept", "residual", "runs"),
+        (
+            (
+                fit.series,
+                fit.over,
+                ", ".join(f"{name} {number(size)}" for name, size in sorted(fit.fixed.items())) or NONE,
+                f"{number(fit.low)} to {number(fit.high)}",
+                f"{fit.slope:.3g} {fit.unit}",
+                f"{fit.slope_low:.3g} to {fit.slope_high:.3g}",
+                f"{fit.intercept:.3g}",
+                f"{fit.residual:.3g}",
+                str(fit.runs),
+            )
+            for fit in sorted(fits, key=lambda fit: (fit.series, fit.over, sorted(fit.fixed.items())))
+        ),
+    )
+
+
+def provenance_table(measured: Iterable[Provenance]) -> str:
+    """Where and when was measured."""
+    return markdown_table(
+        ("date", "commit", "machine", "remarks"),
+        (
+            (
+                one.date,
+                one.commit,
+                f"{one.machine.cores} cores, {number(one.machine.memory_gib)} GiB, "
+                f"{one.machine.python}, {one.machine.system}",
+                one.remarks or NONE,
+            )
+            for one in measured
+        ),
+    )
+
+
+def assumption_table(assumptions: Assumptions) -> str:
+    """Everything that is assumed, with its reasons."""
+    counts = ", ".join(number(count) for count in assumptions.server_counts)
+    rows = [("server counts", counts, "the operators do not tell how many")]
+    for name, assumption in assumptions.single().items():
+        unit, _ = unit_of(name)
+        ending = {"%": "pct"}.get(unit, name.rpartition("_")[2]) if unit else ""
+        title = name.removesuffix("_per_s").removesuffix(f"_{ending}").replace("_", " ")
+        shown = assumptions.quantity(name)
+        rows.append((title, shown.amount, assumption.reason))
+    return markdown_table(("assumed", "value", "reason"), rows)
--- /dev/null
+++ b/benchmarks/capacity/roles.py
@@ -0,0 +1,89 @@
+"""What the model of a fleet consists of: roles with their quantities and mechanisms."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from benchmarks.capacity.quantity import Quantity, multiple
+
+
+class Kind(enum.Enum):
+    """What a quantity tells of its role."""
+
+    STATE = "state"
+    MESSAGES = "messages, mean"
+    PEAK = "messages, peak"
+    BYTES = "bytes a second"
+    PROCESSOR = "processor time"
+    MEMORY = "memory"
+    TIME = "time"
+
+
+class Status(enum.Enum):
+    """Whether a mechanism exists in this program."""
+
+    RUNS = "runs here"
+    BEGUN = "is begun"
+    MISSING = "is missing"
+    ELSEWHERE = "belongs to another system"
+
+
+class Carrier(enum.Enum):
+    """By what a quantity over its budget can be brought under it."""
+
+    PROGRAM = "this program, by the protocol it has"
+    PROCESSES = "more processes of it"
+    PROTOCOL = "not without a new protocol"
+    ANOTHER = "another system"
+
+
+@dataclass(frozen=True)
+class Row:
+    """One quantity of a role, beside its budget where there is one."""
+
+    kind: Kind
+    name: str
+    quantity: Quantity
+    budget: Quantity | None = None
+
+    @property
+    def multiple(self) -> Quantity | None:
+        """How many times its budget the quantity is."""
+        return None if self.budget is None else multiple(self.quantity, self.budget)
+
+
+@dataclass(frozen=True)
+class Mechanism:
+    """What carries a role, by its standard term."""
+
+    term: str
+    status: Status
+    remark: str
+
+
+@dataclass(frozen=True)
+class Role:
+    """One role of the fleet."""
+
+    key: str  # for example `lists`
+    title: str
+    whose: str  # the sentence that says what the quantities are of
+    rows: tuple[Row, ...]
+    mechanisms: tuple[Mechanism, ...]
+
+
+@dataclass(frozen=True)
+class Ranked:
+    """One quantity by today's mechanism, for the order in which missing ones are built."""
+
+    name: str
+    quantity: Quantity
+    budget: Quantity
+    carrier: Carrier
+    verdict: str
+
+    @property
+    def multiple(self) -> Quantity:
+        """How many times its budget the quantity is."""
+        return multiple(self.quantity, self.budget)
--- a/benchmarks/scale/records.py
+++ b/benchmarks/scale/records.py
@@ -176,7 +176,7 @@
         plain = json.loads(text)
     except (ValueError, RecursionError) as exc:
         raise BadRecord(f"{name}: not JSON: {exc}") from None
-    for place, value in _numbers(plain, "$"):
+    for place, value in numbers_in(plain, "$"):
         if not math.isfinite(value):
             raise BadRecord(f"{name}: {place}: {value} is no finite number")
     schema = plain.get("schema") if isinstance(plain, dict) else None
@@ -185,7 +185,7 @@
     try:
         return msgspec.convert(plain, kind)
     except msgspec.ValidationError as exc:
-        raise BadRecord(f"{name}: {exc}{_value_at(plain, str(exc))}") from None
+        raise BadRecord(f"{name}: {exc}{value_at(plain, str(exc))}") from None
 
 
 def _bytes_of(path: Path) -> bytes:
@@ -195,19 +195,19 @@
         raise BadRecord(f"{path.name}: {exc.strerror}") from None
 
 
-def _numbers(plain: Any, place: str) -> Iterator[tuple[str, float]]:
+def numbers_in(plain: Any, place: str) -> Iterator[tuple[str, float]]:
     """Every floating-point number with its place, for JSON's reader takes NaN and Infinity."""
     if isinstance(plain, float):
         yield place, plain
     elif isinstance(plain, dict):
         for key, value in plain.items():
-            yield from _numbers(value, f"{place}.{key}")
+            yield from numbers_in(value, f"{place}.{key}")
     elif isinstance(plain, list):
         for number, value in enumerate(plain):
-            yield from _numbers(value, f"{place}[{number}]")
+            yield from numbers_in(value, f"{place}[{number}]")
 
 
-def _value_at(plain: Any, message: str) -> str:
+def value_at(plain: Any, message: str) -> str:
     """The value at the place that a validation message names, where it names one."""
     _, sign, place = message.rpartition(" - at `$")
     if not sign:
