--- a/benchmarks/capacity/balancer.py
+++ b/benchmarks/capacity/balancer.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from benchmarks.capacity.inputs import Inputs
+from benchmarks.capacity.inputs import PERCENT, Inputs
 from benchmarks.capacity.quantity import Quantity, assumed, derived
 from benchmarks.capacity.roles import Kind, Mechanism, Role, Row, Status
 
@@ -12,23 +12,55 @@
 
 
 def control_core(inputs: Inputs, servers: int, changes_per_s: float) -> Quantity:
-    """Percent of a core that control takes, without clients."""
-    return inputs.measured.at("control.core_pct", "servers", servers, changes_per_s=changes_per_s)
+    """Percent of a core that control takes, without clients.
+
+    Where changes were measured at fewer servers, taking each one costs more by what the module then takes.
+    """
+    series = "control.core_pct"
+    longer = one_change_beyond(inputs, servers, series)
+    return derived(
+        "%",
+        lambda known, cost: known + cost * changes_per_s * PERCENT,
+        with_changes(inputs, series, servers, changes_per_s),
+        longer,
+    )
 
 
 def control_memory(inputs: Inputs, servers: int) -> Quantity:
     """Resident memory of a process without clients."""
-    return inputs.measured.at("control.resident_mib", "servers", servers)
+    return inputs.measured.at("control.resident_mib", "servers", servers, changes_per_s=0.0)
 
 
 def control_bytes(inputs: Inputs, servers: int, changes_per_s: float) -> Quantity:
     """Bytes a second that control sends and receives."""
-    return inputs.measured.at("control.bytes_per_s", "servers", servers, changes_per_s=changes_per_s)
+    return with_changes(inputs, "control.bytes_per_s", servers, changes_per_s)
 
 
 def control_calls(inputs: Inputs, servers: int, changes_per_s: float) -> Quantity:
     """Calls a second of one balancer at the list service."""
-    return inputs.measured.at("control.calls_per_s", "servers", servers, changes_per_s=changes_per_s)
+    return with_changes(inputs, "control.calls_per_s", servers, changes_per_s)
+
+
+def with_changes(inputs: Inputs, series: str, servers: int, changes_per_s: float) -> Quantity:
+    """A series of control at rest by servers, and what changes add to it where they were measured."""
+    rest = inputs.measured.at(series, "servers", servers, changes_per_s=0.0)
+    if changes_per_s == 0.0:
+        return rest
+    still, busy = (
+        inputs.measured.at(series, "changes_per_s", rate, servers=servers) for rate in (0.0, changes_per_s)
+    )
+    return derived(rest.unit, lambda at_rest, low, high: at_rest + high - low, rest, still, busy)
+
+
+def one_change_beyond(inputs: Inputs, servers: int, series: str) -> Quantity:
+    """Processor time of one change in the module, beyond that at the servers where changes were measured."""
+    measured_at = inputs.measured.nearest(series, "changes_per_s", "servers", servers)
+    return derived(
+        "s",
+        lambda here, there: max(0.0, here - there),
+        module(inputs, "one_change", servers),
+        module(inputs, "one_change", int(measured_at)),
+    )
 
 
 def burst_time(inputs: Inputs, servers: int) -> Quantity:
@@ -42,11 +74,11 @@
     standing = inputs.connections_each.value or 0.0
     rows = [row for servers in inputs.server_counts for row in _control_rows(inputs, servers)]
     at_rest = inputs.measured.at("control.standing_core_pct", "standing", standing)
-    timers = inputs.measured.at("module.timers", "servers", inputs.server_counts[-1])
+    timers = inputs.measured.at("module.timers", "timers", standing)
     by_balancers = inputs.measured.at("module.place", "balancers", inputs.targets.fleet.balancers)
     rows += [
         Row(Kind.PROCESSOR, f"{standing:,.0f} connections at rest", at_rest, inputs.core_budget),
-        Row(Kind.PROCESSOR, f"timers once, {inputs.server_counts[-1]:,} servers", timers),
+        Row(Kind.PROCESSOR, f"one timer of {standing:,.0f}", timers),
         Row(Kind.PROCESSOR, f"placing once, {inputs.targets.fleet.balancers:,} balancers told", by_balancers),
     ]
     return Role(
@@ -89,7 +121,12 @@
         Row(Kind.PEAK, f"calls, a change a second, {at}", busy(control_calls)),
         Row(Kind.BYTES, f"no change, {at}", control_bytes(inputs, servers, 0.0), inputs.bytes_budget),
         Row(Kind.BYTES, f"a change a second, {at}", busy(control_bytes), inputs.bytes_budget),
-        Row(Kind.PROCESSOR, f"told mean of changes, {at}", mean_core(inputs, servers), inputs.core_budget),
+        Row(
+            Kind.PROCESSOR,
+            f"told mean of changes, {at}",
+            control_core(inputs, servers, inputs.changes_per_s.value or 0.0),
+            inputs.core_budget,
+        ),
         Row(Kind.PROCESSOR, f"a change a second, {at}", busy(control_core), inputs.core_budget),
         Row(Kind.PROCESSOR, f"whole list taken once, {at}", module(inputs, "whole_list", servers)),
         Row(Kind.PROCESSOR, f"one change taken, {at}", module(inputs, "one_change", servers)),
@@ -109,14 +146,6 @@
     return inputs.measured.at(f"module.{series}", "servers", servers)
 
 
-def mean_core(inputs: Inputs, servers: int) -> Quantity:
-    """Percent of a core at the told mean rate of changes, on the line between rest and a change a second."""
-    rest = control_core(inputs, servers, 0.0)
-    busy = control_core(inputs, servers, BUSY_CHANGES)
-    part = derived("", lambda rate: min(1.0, rate / BUSY_CHANGES), inputs.changes_per_s)
-    return derived("%", lambda low, high, share: low + (high - low) * share, rest, busy, part)
-
-
 def data_path(inputs: Inputs) -> Role:
     """Connections and delivered lines of one balancer."""
     standing = inputs.connections_each.value or 0.0
--- a/benchmarks/capacity/detection.py
+++ b/benchmarks/capacity/detection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from benchmarks.capacity.inputs import DAY_S, Inputs
+from benchmarks.capacity.lists import call_time
 from benchmarks.capacity.quantity import Quantity, derived, told
 from benchmarks.capacity.roles import Kind, Mechanism, Role, Row, Status
 
@@ -76,7 +77,7 @@
     peak = derived("/s", lambda count, within: count / within, zone, inputs.in_force_within)
     a_machine = inputs.per_control_machine(heartbeats(inputs))
     core = derived(
-        "cores", lambda rate, cost: rate * cost, a_machine, inputs.measured.each("list.call_us", 1.0)
+        "cores", lambda rate, cost: rate * cost, a_machine, call_time(inputs, inputs.targets.fleet.balancers)
     )
     state = derived(
         "B", lambda count, size: count * size, machines(inputs), inputs.assumed("shard_entry_bytes")
--- a/benchmarks/capacity/lists.py
+++ b/benchmarks/capacity/lists.py
@@ -47,16 +47,28 @@
     return inputs.measured.at(f"list.told_{part}", "watchers", balancers, service_ms=service_ms)
 
 
+def at_rest(inputs: Inputs, series: str) -> Quantity:
+    """What the list service spends on all watches when nothing changes; it keeps up only without a delay."""
+    return inputs.measured.at(series, "watchers", inputs.targets.fleet.balancers, service_ms=0.0)
+
+
+def call_time(inputs: Inputs, watchers: float) -> Quantity:
+    """Processor time of one call that brings no news, at a list service that waits for nothing else."""
+    return inputs.measured.each("list.call_us", watchers, service_ms=0.0)
+
+
 def reset_time(inputs: Inputs) -> Quantity:
     """Until the last balancer has a list again after all watches were reset at once."""
-    return inputs.measured.at("failure.reset_all_last", "watchers", inputs.targets.fleet.balancers)
+    service_ms = inputs.targets.assumed.list_service_ms.value
+    balancers = inputs.targets.fleet.balancers
+    return inputs.measured.at("failure.reset_all_last", "watchers", balancers, service_ms=service_ms)
 
 
 def service(inputs: Inputs, relay_status: Status) -> Role:
     """The list service as all balancers ask it directly, which is what ran first."""
     balancers = inputs.targets.fleet.balancers
     all_lists = derived("B", lambda size, count: size * count, whole_list(inputs), inputs.balancers)
-    call_cost = inputs.measured.each("list.call_us", balancers)
+    call_cost = call_time(inputs, balancers)
     idle_core = derived("%", lambda cost, rate: cost * rate * PERCENT, call_cost, idle_calls(inputs))
     day_log = derived(
         "B",
@@ -80,14 +92,14 @@
             peak_answers(inputs),
             inputs.list_rate,
         ),
-        Row(Kind.BYTES, "sent, all balancers", inputs.measured.at("list.bytes_per_s", "watchers", balancers)),
+        Row(Kind.BYTES, "sent, all balancers", at_rest(inputs, "list.bytes_per_s")),
         Row(
             Kind.BYTES,
             "whole lists to all after a reset, within the told time",
             reset_bytes(inputs, all_lists),
         ),
         Row(Kind.PROCESSOR, "idle calls by the time of one, beside one core", idle_core, one_core),
-        Row(Kind.PROCESSOR, "measured", inputs.measured.at("list.core_pct", "watchers", balancers), one_core),
+        Row(Kind.PROCESSOR, "measured", at_rest(inputs, "list.core_pct"), one_core),
         Row(Kind.MEMORY, "log of a day's changes", day_log),
         Row(
             Kind.TIME,
@@ -155,9 +167,10 @@
     watching = told(upstream, "relays")
     each = derived("balancers", lambda whole, parts: whole / parts, fleet, count)
     calls = derived("/s", lambda below, wait: below / wait, each, inputs.assumed("relay_wait_ms"))
-    cost = inputs.measured.each("list.call_us", each.value or 0.0)
+    cost = call_time(inputs, each.value or 0.0)
+    change = inputs.measured.each("list.change_us", each.value or 0.0, service_ms=0.0)
     core = derived("%", lambda rate, time: rate * time * PERCENT, calls, cost)
-    answers = derived("s", lambda below, time: below * time, each, cost)
+    answers = derived("s", lambda below, time: below * time, each, change)
     upstream_calls = derived(
         "/s", lambda above, wait: above / wait, watching, inputs.assumed("relay_upstream_wait_ms")
     )
--- a/benchmarks/capacity/measurements.py
+++ b/benchmarks/capacity/measurements.py
@@ -8,7 +8,7 @@
 
 import math
 import statistics
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from benchmarks.capacity.quantity import Basis, MeasuredRange, Quantity, not_measured
 from benchmarks.scale.records import BadRecord, Fit, Point, SlopeResults
@@ -49,6 +49,7 @@
     "data.connection_us": "s",
     "data.connection_kib": "B",
     "list.call_us": "s",
+    "list.change_us": "s",
     "list.core_pct": "%",
     "list.bytes_per_s": "B/s",
     "list.told_p50": "s",
@@ -61,6 +62,9 @@
 }
 
 
+Fixed = tuple[tuple[str, float], ...]  # the inputs of a curve that do not vary, by name
+
+
 @dataclass(frozen=True)
 class _Curve:
     """One series over one input, the others fixed: sizes with their medians, in the unit of the page."""
@@ -101,18 +105,31 @@
             _check_unit(point, f"slopes.json: $.points[{number}].unit")
         for number, fit in enumerate(self._fits):
             _check_unit(fit, f"slopes.json: $.fits[{number}].unit")
+        self._known: dict[tuple[str, str], dict[Fixed, _Curve]] = {}
 
     def at(self, series: str, over: str, size: float, **near: float) -> Quantity:
-        """A series at one size of the input `over`, measured where the other inputs are nearest to `near`."""
+        """A series at one size of the input `over`, measured where the other inputs are nearest to `near`.
+
+        Where they are others than wanted, the value counts as extrapolated from there.
+        """
         unit = SERIES[series]
         curves = self._curves(series, over)
         if not curves:
             return not_measured(f"{series} by {over}", unit)
-        # Of curves as near the longest counts, for it rests on most points.
-        fixed = min(curves, key=lambda one: (_distance(dict(one), near), -len(curves[one].sizes), one))
-        return curves[fixed].at(size, unit, series)
+        fixed = _nearest(curves, near)
+        found = curves[fixed].at(size, unit, series)
+        elsewhere = [MeasuredRange(name, at, at) for name, at in fixed if near.get(name, at) != at]
+        if not elsewhere:
+            return found
+        ranges = tuple(sorted({*found.ranges, *elsewhere}))
+        return replace(found, basis=Basis.EXTRAPOLATED, ranges=ranges)
+
+    def nearest(self, series: str, over: str, name: str, wanted: float) -> float:
+        """The measured value of the input `name` nearest to the wanted one, where `over` varied."""
+        curves = self._curves(series, over)
+        return dict(_nearest(curves, {name: wanted})).get(name, wanted) if curves else wanted
 
-    def each(self, series: str, size: float) -> Quantity:
+    def each(self, series: str, size: float, **near: float) -> Quantity:
         """What one of `size` costs, by a series of costs for each one.
 
         Beyond the measured range the cost at the greatest measured size is taken, as extrapolated. Without an
@@ -128,28 +145,25 @@
         sizes = [point.inputs[over] for point in points if over in point.inputs]
         measured = MeasuredRange(over, min(sizes), max(sizes))
         if measured.low <= size <= measured.high:
-            return self.at(series, over, size)
+            return self.at(series, over, size, **near)
         nearest = measured.low if size < measured.low else measured.high
-        known = self.at(series, over, nearest)
-        return Quantity(known.value, unit, Basis.EXTRAPOLATED, (measured,))
-
-    def single(self, series: str) -> Quantity:
-        """The only value of a series, or that at its greatest inputs."""
-        unit = SERIES[series]
-        points = [point for point in self._points if point.series == series]
-        if not points:
-            return not_measured(series, unit)
-        greatest = max(points, key=lambda point: sorted(point.inputs.items()))
-        return Quantity(_median(greatest), unit, Basis.MEASURED)
+        known = self.at(series, over, nearest, **near)
+        ranges = tuple(sorted({*known.ranges, measured}))
+        return Quantity(known.value, unit, Basis.EXTRAPOLATED, ranges)
 
-    def _curves(self, series: str, over: str) -> dict[tuple[tuple[str, float], ...], _Curve]:
+    def _curves(self, series: str, over: str) -> dict[Fixed, _Curve]:
         """The curves of a series over one input, by the other inputs."""
+        if (series, over) not in self._known:
+            self._known[series, over] = self._curves_anew(series, over)
+        return self._known[series, over]
+
+    def _curves_anew(self, series: str, over: str) -> dict[Fixed, _Curve]:
         fits = {
             tuple(sorted(fit.fixed.items())): fit
             for fit in self._fits
             if fit.series == series and fit.over == over
         }
-        medians: dict[tuple[tuple[str, float], ...], dict[float, float]] = {}
+        medians: dict[Fixed, dict[float, float]] = {}
         for point in self._points:
             if point.series == series and over in point.inputs:
                 fixed = tuple(sorted((name, size) for name, size in point.inputs.items() if name != over))
@@ -158,6 +172,15 @@
         return curves | {fixed: _by_line(fit) for fixed, fit in fits.items() if fixed not in curves}
 
 
+def _nearest(curves: dict[Fixed, _Curve], near: dict[str, float]) -> Fixed:
+    """The curve measured nearest to the wanted inputs; of several the longest, for it has most points.
+
+    A single point, where the input did not vary, counts only where there is nothing else.
+    """
+    varied = [fixed for fixed, curve in curves.items() if len(curve.sizes) > 1] or list(curves)
+    return min(varied, key=lambda one: (_distance(dict(one), near), -len(curves[one].sizes), one))
+
+
 def _by_points(over: str, medians: dict[float, float], fit: Fit | None) -> _Curve:
     sizes = sorted(medians)
     slope = None if fit is None else fit.slope * _UNITS[fit.unit][1]
--- a/benchmarks/capacity/reconnecting.py
+++ b/benchmarks/capacity/reconnecting.py
@@ -127,12 +127,12 @@
             Row(
                 Kind.TIME,
                 "arrivals of a lost zone in the decision module, each",
-                inputs.measured.single("failure.zone_arrivals"),
+                zone_measured(inputs, "failure.zone_arrivals"),
             ),
             Row(
                 Kind.TIME,
                 "the same, all of one balancer's",
-                inputs.measured.single("failure.zone_seconds"),
+                zone_measured(inputs, "failure.zone_seconds"),
                 within,
             ),
             Row(Kind.TIME, f"a restart, {inputs.server_counts[-1]:,} servers", restart(inputs)),
@@ -159,6 +159,13 @@
     )
 
 
+def zone_measured(inputs: Inputs, series: str) -> Quantity:
+    """A series of the module's arrivals after a lost zone, at a balancer's connections."""
+    standing = inputs.connections_each.value or 0.0
+    arrivals = zone_loss(inputs).each.value or 0.0
+    return inputs.measured.at(series, "standing", standing, arrivals=round(arrivals))
+
+
 def restart(inputs: Inputs) -> Quantity:
     """Until a restarted process is ready, with the most servers."""
     return inputs.measured.at("failure.restart_s", "servers", inputs.server_counts[-1])
--- a/benchmarks/capacity/shards.py
+++ b/benchmarks/capacity/shards.py
@@ -6,6 +6,7 @@
 
 from benchmarks.capacity.balancer import control_memory
 from benchmarks.capacity.inputs import DAY_S, PERCENT, Inputs
+from benchmarks.capacity.lists import call_time
 from benchmarks.capacity.quantity import Quantity, assumed, derived, told, total
 from benchmarks.capacity.roles import Kind, Mechanism, Role, Row, Status
 
@@ -177,7 +178,7 @@
         "cores",
         lambda rate, cost: rate * cost,
         inputs.per_control_machine(lookups),
-        inputs.measured.each("list.call_us", 1.0),
+        call_time(inputs, inputs.targets.fleet.balancers),
     )
     return Role(
         "shards",
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -42,7 +42,20 @@
 TEXT = TARGETS.read_text(encoding="utf-8")
 LOW, HIGH = 100.0, 10_000.0  # the made-up measured range of each input
 UNITS = {"s": "ms", "B": "KiB", "%": "%", "B/s": "B/s", "/s": "/s"}
-INPUTS = ("servers", "standing", "balancers", "watchers")
+# The inputs that vary, with those that stand still, as `make bench-scale` has them.
+VARIED: dict[str, dict[str, float]] = {
+    "servers": {"standing": 0.0},
+    "standing": {"servers": 1_000.0},
+    "timers": {},
+    "balancers": {"servers": 1_000.0},
+    "watchers": {"service_ms": 10.0},
+    "lines_per_s": {"standing": 200.0},
+}
+CONTROL: dict[str, dict[str, float]] = {
+    "servers": {"changes_per_s": 0.0},
+    "changes_per_s": {"servers": 1_000.0},
+}
+RATES = (0.0, 1.0, 5.0)
 MEASURED = Provenance(this_machine(), "made-up", "2026-01-01T00:00:00+00:00")
 
 
@@ -54,11 +67,13 @@
         if series == left_out:
             continue
         unit = UNITS[kind]
-        for over in INPUTS:
-            points += [
-                Point(series, unit, {over: size}, [at_zero + slope * size]) for size in (LOW, 1_000.0, HIGH)
-            ]
-            fits.append(Fit(series, unit, over, {}, slope, at_zero, 0.0, LOW, HIGH, 1, slope, slope))
+        control = series.startswith("control.") and "standing" not in series
+        for over, fixed in (CONTROL if control else VARIED).items():
+            sizes = RATES if over == "changes_per_s" else (LOW, 1_000.0, HIGH)
+            points += [Point(series, unit, {over: size, **fixed}, [at_zero + slope * size]) for size in sizes]
+            fits.append(
+                Fit(series, unit, over, fixed, slope, at_zero, 0.0, sizes[0], sizes[-1], 1, slope, slope)
+            )
     return SlopeResults(SCHEMA, [MEASURED], points, fits)
 
 
@@ -267,6 +282,7 @@
     for wanted, nearest in ((0.0, 0.0), (0.9, 1.0), (50.0, 10.0)):
         found = measured.at("control.core_pct", "servers", 150.0, changes_per_s=wanted)
         assert found.value == pytest.approx(nearest + 1.0)
+        assert found.mark == ("m" if wanted == nearest else f"x: changes_per_s {nearest:g}")
 
 
 def test_a_cost_for_each_stays_as_measured_beyond_the_range_and_says_so() -> None:
