--- a/benchmarks/capacity/balancer.py
+++ b/benchmarks/capacity/balancer.py
@@ -74,10 +74,16 @@
     standing = inputs.connections_each.value or 0.0
     rows = [row for servers in inputs.server_counts for row in _control_rows(inputs, servers)]
     at_rest = inputs.measured.at("control.standing_core_pct", "standing", standing)
+    standing_each = inputs.standing_a_process
+    part_at_rest = inputs.at_quantity("control.standing_core_pct", "standing", standing_each)
     timers = inputs.measured.at("module.timers", "timers", standing)
     by_balancers = inputs.measured.at("module.place", "balancers", inputs.targets.fleet.balancers)
     rows += [
-        Row(Kind.PROCESSOR, f"{standing:,.0f} connections at rest", at_rest, inputs.core_budget),
+        Row(
+            Kind.PROCESSOR, f"{standing:,.0f} connections at rest in one process", at_rest, inputs.core_budget
+        ),
+        Row(Kind.PROCESSOR, "a process's part of them at rest", part_at_rest, inputs.core_budget),
+        Row(Kind.PROCESSOR, "all processes, connections at rest", rest_of_all(inputs), inputs.core_budget),
         Row(Kind.PROCESSOR, f"one timer of {standing:,.0f}", timers),
         Row(Kind.PROCESSOR, f"placing once, {inputs.targets.fleet.balancers:,} balancers told", by_balancers),
     ]
@@ -105,42 +111,45 @@
 
 def _control_rows(inputs: Inputs, servers: int) -> list[Row]:
     """The rows of control that depend on the number of servers."""
-    at = f"{servers:,} servers"
+
+    def row(kind: Kind, name: str, quantity: Quantity, budget: Quantity | None = None) -> Row:
+        return Row(kind, name, quantity, budget, servers)
 
     def busy(quantity: Callable[[Inputs, int, float], Quantity]) -> Quantity:
         return quantity(inputs, servers, BUSY_CHANGES)
 
+    mean = inputs.changes_per_s.value or 0.0
+    memory, size, core = inputs.memory_budget, inputs.bytes_budget, inputs.core_budget
     return [
-        Row(
-            Kind.STATE,
-            f"list in the decision module, {at}",
-            module(inputs, "list_bytes", servers),
-            inputs.memory_budget,
-        ),
-        Row(Kind.MESSAGES, f"calls, no change, {at}", control_calls(inputs, servers, 0.0)),
-        Row(Kind.PEAK, f"calls, a change a second, {at}", busy(control_calls)),
-        Row(Kind.BYTES, f"no change, {at}", control_bytes(inputs, servers, 0.0), inputs.bytes_budget),
-        Row(Kind.BYTES, f"a change a second, {at}", busy(control_bytes), inputs.bytes_budget),
-        Row(
-            Kind.PROCESSOR,
-            f"told mean of changes, {at}",
-            control_core(inputs, servers, inputs.changes_per_s.value or 0.0),
-            inputs.core_budget,
-        ),
-        Row(Kind.PROCESSOR, f"a change a second, {at}", busy(control_core), inputs.core_budget),
-        Row(Kind.PROCESSOR, f"whole list taken once, {at}", module(inputs, "whole_list", servers)),
-        Row(Kind.PROCESSOR, f"one change taken, {at}", module(inputs, "one_change", servers)),
-        Row(Kind.PROCESSOR, f"placing once, median, {at}", module(inputs, "place", servers)),
-        Row(Kind.PROCESSOR, f"placing once, 99 in 100, {at}", module(inputs, "place_p99", servers)),
-        Row(
-            Kind.MEMORY,
-            f"process without clients, {at}",
-            control_memory(inputs, servers),
-            inputs.memory_budget,
-        ),
+        row(Kind.STATE, "list in the decision module", module(inputs, "list_bytes", servers), memory),
+        row(Kind.MESSAGES, "calls, no change", control_calls(inputs, servers, 0.0)),
+        row(Kind.PEAK, "calls, a change a second", busy(control_calls)),
+        row(Kind.BYTES, "no change", control_bytes(inputs, servers, 0.0), size),
+        row(Kind.BYTES, "a change a second", busy(control_bytes), size),
+        row(Kind.PROCESSOR, "told mean of changes", control_core(inputs, servers, mean), core),
+        row(Kind.PROCESSOR, "a change a second", busy(control_core), core),
+        row(Kind.PROCESSOR, "whole list taken once", module(inputs, "whole_list", servers)),
+        row(Kind.PROCESSOR, "one change taken", module(inputs, "one_change", servers)),
+        row(Kind.PROCESSOR, "placing once, median", module(inputs, "place", servers)),
+        row(Kind.PROCESSOR, "placing once, 99 in 100", module(inputs, "place_p99", servers)),
+        row(Kind.MEMORY, "process without clients", control_memory(inputs, servers), memory),
+        row(Kind.MEMORY, "the same in all of a balancer's processes", memory_of_all(inputs, servers), memory),
     ]
 
 
+def memory_of_all(inputs: Inputs, servers: int) -> Quantity:
+    """Resident memory of all processes of a balancer, without clients."""
+    return derived(
+        "B", lambda one, parts: one * parts, control_memory(inputs, servers), inputs.processes_each
+    )
+
+
+def rest_of_all(inputs: Inputs) -> Quantity:
+    """Percent of a core that all processes of a balancer take while its connections only stand."""
+    one = inputs.at_quantity("control.standing_core_pct", "standing", inputs.standing_a_process)
+    return derived("%", lambda share, parts: share * parts, one, inputs.processes_each)
+
+
 def module(inputs: Inputs, series: str, servers: int) -> Quantity:
     """A series of the decision module, by the number of servers."""
     return inputs.measured.at(f"module.{series}", "servers", servers)
@@ -155,6 +164,7 @@
     peak_cores = derived("cores", lambda rate, cost: rate * cost, peak, inputs.line_cost)
     in_module = inputs.measured.at("module.standing_bytes", "standing", standing)
     placing = inputs.measured.at("module.place_own_groups", "standing", standing)
+    placing_each = inputs.at_quantity("module.place_own_groups", "standing", inputs.standing_a_process)
     memory = connections_memory(inputs)
     at_rest = inputs.measured.at("control.standing_resident_mib", "standing", standing)
     machine_memory = inputs.assumed("machine_memory_gb")
@@ -173,7 +183,8 @@
                 inputs.process_cores,
             ),
             Row(Kind.PROCESSOR, "deliveries, peak, beside one core", peak_cores, assumed(1.0, "cores")),
-            Row(Kind.PROCESSOR, "placing one connection, each with a group of its own", placing),
+            Row(Kind.PROCESSOR, "placing once in one process, a group for each connection", placing),
+            Row(Kind.PROCESSOR, "placing once in each of its processes", placing_each),
             Row(
                 Kind.MEMORY,
                 "its connections, beside one machine",
@@ -218,19 +229,18 @@
         "machines", lambda bytes_, most: bytes_ / most, memory, inputs.assumed("machine_memory_gb")
     )
     all_processes = derived("processes", lambda each, count: each * count, processes, inputs.balancers)
-    list_copy = control_memory(inputs, inputs.server_counts[-1])
     return {
         "data.processes_each": processes,
         "data.processes_all": all_processes,
         "data.rate_of_a_process": lines_rate,
-        "data.connections_of_a_process": derived(
-            "connections", lambda count, parts: count / parts, inputs.connections_each, processes
-        ),
+        "data.connections_of_a_process": inputs.standing_a_process,
         "data.machines_by_cores": by_cores,
         "data.machines_by_memory": by_memory,
         "data.memory": memory,
         "data.memory_of_a_process": derived("B", lambda all_, parts: all_ / parts, memory, processes),
-        "data.control_memory_of_all": derived("B", lambda one, parts: one * parts, list_copy, processes),
+        "data.control_memory_of_all": memory_of_all(inputs, inputs.server_counts[-1]),
+        "data.watchers": inputs.watchers_by_process,
+        "data.rest_of_all": rest_of_all(inputs),
         "data.cores": inputs.data_cores,
         "data.line": inputs.line_cost,
         "data.connections_each": inputs.connections_each,
--- a/benchmarks/capacity/inputs.py
+++ b/benchmarks/capacity/inputs.py
@@ -104,7 +104,9 @@
     @cached_property
     def connection_memory(self) -> Quantity:
         """Resident memory of one standing connection in a process."""
-        return self.measured.each("data.connection_kib", self.connections_each.value or 0.0)
+        standing = self.standing_a_process
+        found = self.measured.each("data.connection_kib", standing.value or 0.0)
+        return derived("B", lambda each, _: each, found, standing)
 
     @cached_property
     def data_cores(self) -> Quantity:
@@ -131,6 +133,23 @@
         """Cores of one machine."""
         return assumed(self.targets.assumed.machine_cores.value, "cores")
 
+    @cached_property
+    def standing_a_process(self) -> Quantity:
+        """Standing connections of one of a balancer's processes."""
+        return derived(
+            "connections", lambda count, parts: count / parts, self.connections_each, self.processes_each
+        )
+
+    @cached_property
+    def watchers_by_process(self) -> Quantity:
+        """Watches of the list, where each process of each balancer has its own."""
+        return derived("watches", lambda count, parts: count * parts, self.balancers, self.processes_each)
+
+    def at_quantity(self, series: str, over: str, size: Quantity) -> Quantity:
+        """A series at a size that is itself reckoned; its basis is the weaker of both."""
+        found = self.measured.at(series, over, size.value or 0.0)
+        return derived(found.unit, lambda value, _: value, found, size)
+
     def per_control_machine(self, quantity: Quantity, lost: int = 0) -> Quantity:
         """A quantity of the fleet, shared evenly by the control machines that are left."""
         left = told(max(1, self.targets.budget.machines - lost), "machines")
--- a/benchmarks/capacity/lists.py
+++ b/benchmarks/capacity/lists.py
@@ -34,6 +34,11 @@
     return derived("s", lambda count, rate: count / rate, inputs.balancers, inputs.list_rate)
 
 
+def direct_time_by_process(inputs: Inputs) -> Quantity:
+    """The same, where each of a balancer's processes watches by itself."""
+    return derived("s", lambda count, rate: count / rate, inputs.watchers_by_process, inputs.list_rate)
+
+
 def whole_list(inputs: Inputs) -> Quantity:
     """A whole list on the wire, with the most servers."""
     count = inputs.server_counts[-1]
@@ -222,6 +227,7 @@
         "lists.service": inputs.assumed("list_service_ms"),
         "lists.direct_time": direct_time(inputs),
         "lists.within": inputs.in_force_within,
+        "lists.direct_time_by_process": direct_time_by_process(inputs),
         "lists.balancers": inputs.balancers,
         "lists.whole": whole_list(inputs),
         "lists.whole_all": all_lists,
--- a/benchmarks/capacity/quantity.py
+++ b/benchmarks/capacity/quantity.py
@@ -64,7 +64,18 @@
         if not self.ranges:
             return letter
         beyond = ", ".join(str(measured) for measured in self.ranges)
-        return f"{letter}: {beyond}" if self.basis is Basis.EXTRAPOLATED else f"{letter}; x: {beyond}"
+        return f"{letter}: {beyond}" if self.basis is Basis.EXTRAPOLATED else f"{letter}, x: {beyond}"
+
+    @property
+    def short_mark(self) -> str:
+        """The mark without ranges, for tables that name them once."""
+        letter = MARKS[self.basis]
+        return f"{letter}, x" if self.ranges and self.basis is Basis.ASSUMED else letter
+
+    @property
+    def short(self) -> str:
+        """The value with its short mark."""
+        return self.amount if self.value is None else f"{self.amount} ({self.short_mark})"
 
     @property
     def amount(self) -> str:
--- a/benchmarks/capacity/reconnecting.py
+++ b/benchmarks/capacity/reconnecting.py
@@ -28,9 +28,9 @@
 
 def connection_cost(inputs: Inputs) -> Quantity:
     """Processor time of one connection that comes: opened and placed by the side that clients speak to."""
-    standing = inputs.connections_each.value or 0.0
-    placing = inputs.measured.at("module.place_own_groups", "standing", standing)
-    opening = inputs.measured.each("data.connection_us", standing)
+    standing = inputs.standing_a_process
+    placing = inputs.at_quantity("module.place_own_groups", "standing", standing)
+    opening = inputs.measured.each("data.connection_us", standing.value or 0.0)
     return total(opening, placing)
 
 
--- a/benchmarks/capacity/roles.py
+++ b/benchmarks/capacity/roles.py
@@ -34,6 +34,7 @@
 
     PROGRAM = "this program, by the protocol it has"
     PROCESSES = "more processes of it"
+    SHAPE = "another shape of the program"
     PROTOCOL = "not without a new protocol"
     ANOTHER = "another system"
 
@@ -46,6 +47,7 @@
     name: str
     quantity: Quantity
     budget: Quantity | None = None
+    servers: int | None = None  # where the quantity depends on their number
 
     @property
     def multiple(self) -> Quantity | None:
--- a/benchmarks/capacity/targets.py
+++ b/benchmarks/capacity/targets.py
@@ -77,6 +77,7 @@
     machine_cores: Assumption
     machine_memory_gb: Assumption
     process_core_pct: Assumption
+    budget_window_s: Assumption
     peak_over_mean: Assumption
     tree_fan_out: Assumption
     round_trip_zone_ms: Assumption
