--- a/benchmarks/capacity/measurements.py
+++ b/benchmarks/capacity/measurements.py
@@ -76,7 +76,7 @@
     slope: float | None  # beyond the range; None: no line was fitted
 
     def at(self, size: float, unit: str, series: str) -> Quantity:
-        measured = MeasuredRange(self.over, self.sizes[0], self.sizes[-1])
+        measured = MeasuredRange(series, self.over, self.sizes[0], self.sizes[-1])
         if measured.low <= size <= measured.high:
             return Quantity(self._between(size), unit, Basis.MEASURED)
         if self.slope is None:
@@ -120,7 +120,7 @@
             return not_measured(f"{series} by {over}", unit)
         fixed = _nearest(curves, near)
         found = curves[fixed].at(size, unit, series)
-        elsewhere = [MeasuredRange(name, at, at) for name, at in fixed if near.get(name, at) != at]
+        elsewhere = [MeasuredRange(series, name, at, at) for name, at in fixed if near.get(name, at) != at]
         if not elsewhere:
             return found
         ranges = tuple(sorted({*found.ranges, *elsewhere}))
@@ -145,7 +145,7 @@
         if not over:
             return Quantity(_median(points[-1]), unit, Basis.MEASURED)
         sizes = [point.inputs[over] for point in points if over in point.inputs]
-        measured = MeasuredRange(over, min(sizes), max(sizes))
+        measured = MeasuredRange(series, over, min(sizes), max(sizes))
         if measured.low <= size <= measured.high:
             return self.at(series, over, size, **near)
         nearest = measured.low if size < measured.low else measured.high
--- a/benchmarks/capacity/model.py
+++ b/benchmarks/capacity/model.py
@@ -66,6 +66,10 @@
         """Those of the table of ranks."""
         return [quantity for entry in self.ranking for quantity in (entry.quantity, entry.budget)]
 
+    def process_quantities(self) -> list[Quantity]:
+        """Those of the chapter on what a balancer is."""
+        return [quantity for name, quantity in self.figures.items() if name.startswith("data.")]
+
     def load_quantities(self) -> list[Quantity]:
         """Those of the table of relays."""
         return [quantity for load in self.loads for quantity in (load.core, load.told_last)]
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+import textwrap
 from collections.abc import Iterable
 from pathlib import Path
 
@@ -19,6 +21,8 @@
 
 TEMPLATE = "page.md.j2"
 NONE = "-"
+WIDTH = 120
+_FILL = textwrap.TextWrapper(WIDTH, break_long_words=False, break_on_hyphens=False)
 LEAST_SHOWN = 0.01  # of multiples
 
 
@@ -41,6 +45,7 @@
         loss_table=loss_table,
         load_table=load_table,
         run_table=run_table,
+        load_run_table=load_run_table,
         fit_table=fit_table,
         provenance_table=provenance_table,
         assumption_table=assumption_table,
@@ -48,7 +53,21 @@
         ranges_of=ranges_of,
     )
     roles = {role.key: role for role in capacity.roles}
-    return environment.get_template(TEMPLATE).render(capacity=capacity, q=capacity.figures, roles=roles)
+    page = environment.get_template(TEMPLATE).render(capacity=capacity, q=capacity.figures, roles=roles)
+    return wrapped(page)
+
+
+def wrapped(page: str) -> str:
+    """The page with its paragraphs and points filled, and one empty line between blocks."""
+    blocks = [block.strip("\n") for block in re.split(r"\n{2,}", page)]
+    return "\n\n".join(_filled(block) for block in blocks if block.strip()) + "\n"
+
+
+def _filled(block: str) -> str:
+    if block.startswith(("|", "#")):
+        return block
+    points = re.split(r"\n(?=- )", block)
+    return "\n".join(_FILL.fill(" ".join(point.split())) for point in points)
 
 
 def markdown_table(heads: Iterable[str], rows: Iterable[Iterable[str]]) -> str:
@@ -74,7 +93,11 @@
     ranges = sorted({measured for one in quantities for measured in one.ranges})
     if not ranges:
         return ""
-    return f"(x) goes beyond: {', '.join(str(measured) for measured in ranges)}.\n"
+    by_series: dict[str, list[str]] = {}
+    for measured in ranges:
+        by_series.setdefault(measured.series, []).append(str(measured))
+    told = "; ".join(f"`{series}` at {', '.join(sizes)}" for series, sizes in by_series.items())
+    return f"(x) goes beyond what was measured: {told}."
 
 
 def role_table(role: Role) -> str:
@@ -91,8 +114,8 @@
             ),
         )
     )
-    said = ranges_of(row.quantity for row in role.rows)
-    return "\n\n".join(tables) + (f"\n\n{said}" if said else "\n")
+    tables.append(ranges_of(row.quantity for row in role.rows))
+    return "\n\n".join(part for part in tables if part)
 
 
 def servers_table(rows: list[Row]) -> str:
@@ -182,9 +205,9 @@
         for hop in hops
     ]
     sending, way = (total(*(getattr(hop, part) for hop in hops)) for part in ("sending", "way"))
-    rows.append((f"together {together.short}", "", "", sending.short, way.short, queue.short))
+    rows.append(("together", "", "", sending.short, way.short, queue.short))
     heads = ("hop", "receivers", "children of a sender", "sending", "way", "queue, told part")
-    return markdown_table(heads, rows) + "\n\n" + ranges_of([together])
+    return "\n\n".join(part for part in (markdown_table(heads, rows), ranges_of([together])) if part)
 
 
 def loss_table(losses: Iterable[Loss]) -> str:
@@ -245,21 +268,25 @@
     )
 
 
-def run_table(runs: Iterable[ScaleRun]) -> str:
-    """Runs of hollow balancers beside real ones, as committed."""
+def run_table(runs: Iterable[ScaleRun], within_s: float) -> str:
+    """Until when balancers had the changes, by runs of hollow ones beside real ones."""
     heads = (
-        "story", "relays", "hollow", "real", "processes", "servers", "service",
-        "p50", "p99", "last", "without it", "real p99", "real last", "calls at the source", "peak", "sent",
-        "source's core", "balancer's calls", "bytes", "hollow's core", "real's core", "real's memory",
-        "relay's core, most", "relay's memory", "held",
+        "story", "relays", "hollow", "real", "processes", "servers", "service", "p50", "p99", "last",
+        "without it", "real p99", "real last", f"99 in 100 within {number(within_s)} s", "held",
     )  # fmt: skip
-    return markdown_table(heads, (run_row(run) for run in runs))
+    return markdown_table(heads, (run_row(run, within_s) for run in in_order(runs)))
 
 
-def run_row(run: ScaleRun) -> tuple[str, ...]:
-    """One run; figures are measured, of one core and of seconds after the change at the source."""
+def in_order(runs: Iterable[ScaleRun]) -> list[ScaleRun]:
+    """Runs of one story and size next to one another, without relays first."""
+    return sorted(runs, key=lambda run: (run.story, run.hollow, run.servers, run.service_ms, run.relays))
+
+
+def run_row(run: ScaleRun, within_s: float) -> tuple[str, ...]:
+    """One run: its size, seconds after the change at the source, and whether it held."""
     ours, theirs = run.told_hollow, run.told_real
-    relays = run.relays > 0
+    missed = ours.missed + theirs.missed
+    in_time = missed == 0 and max(ours.p99_s, theirs.p99_s) <= within_s
     return (
         run.story,
         str(run.relays),
@@ -271,9 +298,31 @@
         f"{number(ours.p50_s)} s",
         f"{number(ours.p99_s)} s",
         f"{number(ours.last_s)} s",
-        number(ours.missed + theirs.missed),
+        number(missed),
         f"{number(theirs.p99_s)} s",
         f"{number(theirs.last_s)} s",
+        "yes" if in_time else "**no**",
+        "yes" if run.held else "**no**",
+    )
+
+
+def load_run_table(runs: Iterable[ScaleRun]) -> str:
+    """What the same runs cost; of a core, the mean over a run."""
+    heads = (
+        "story", "relays", "hollow", "calls at the source", "peak", "sent", "its core", "calls of a balancer",
+        "bytes", "hollow's core", "hollow's memory", "real's core", "real's memory", "relay's core, most",
+        "relay's memory", "relay sends",
+    )  # fmt: skip
+    return markdown_table(heads, (load_run_row(run) for run in in_order(runs)))
+
+
+def load_run_row(run: ScaleRun) -> tuple[str, ...]:
+    """What one run cost."""
+    relays = run.relays > 0
+    return (
+        run.story,
+        str(run.relays),
+        number(run.hollow),
         scaled(run.source_calls_per_s, "/s"),
         scaled(run.source_calls_peak, "/s"),
         scaled(run.source_bytes_per_s, "B/s"),
@@ -281,11 +330,12 @@
         scaled(run.calls_per_balancer_s, "/s"),
         scaled(run.bytes_per_balancer_s, "B/s"),
         scaled(run.hollow_core_pct, "%"),
+        f"{number(run.hollow_kib)} KiB",
         scaled(run.real_core_pct, "%"),
         f"{number(run.real_mib)} MiB",
         scaled(run.relay_core_pct_most, "%") if relays else NONE,
         f"{number(run.relay_mib)} MiB" if relays else NONE,
-        "yes" if run.held else "**no**",
+        scaled(run.relay_bytes_per_s, "B/s") if relays else NONE,
     )
 
 
@@ -311,20 +361,18 @@
 
 
 def provenance_table(measured: Iterable[Provenance]) -> str:
-    """Where and when was measured."""
-    return markdown_table(
-        ("date", "commit", "machine", "remarks"),
+    """Where and when was measured; what is the same stands once."""
+    rows = [
         (
-            (
-                one.date,
-                one.commit,
-                f"{one.machine.cores} cores, {number(one.machine.memory_gib)} GiB, "
-                f"{one.machine.python}, {one.machine.system}",
-                one.remarks or NONE,
-            )
-            for one in measured
-        ),
-    )
+            one.date,
+            one.commit,
+            f"{one.machine.cores} cores, {number(one.machine.memory_gib)} GiB, "
+            f"{one.machine.python}, {one.machine.system}",
+            one.remarks or NONE,
+        )
+        for one in measured
+    ]
+    return markdown_table(("date", "commit", "machine", "remarks"), dict.fromkeys(rows))
 
 
 def assumption_table(assumptions: Assumptions) -> str:
--- a/benchmarks/capacity/quantity.py
+++ b/benchmarks/capacity/quantity.py
@@ -15,6 +15,14 @@
     "B/s": ((1e9, "GB/s"), (1e6, "MB/s"), (1e3, "kB/s"), (1.0, "B/s")),
 }
 _MINUTE = 60.0
+_IRREGULAR = {
+    "processes": "process",
+    "watches": "watch",
+    "children": "child",
+    "s": "s",
+    "B/s": "B/s",
+    "/s": "/s",
+}
 
 
 class Basis(enum.IntEnum):
@@ -31,8 +39,9 @@
 
 @dataclass(frozen=True, order=True)
 class MeasuredRange:
-    """The sizes of one input between which something was measured."""
+    """The sizes of one input between which a series was measured."""
 
+    series: str
     over: str
     low: float
     high: float
@@ -63,7 +72,7 @@
         letter = MARKS[self.basis]
         if not self.ranges:
             return letter
-        beyond = ", ".join(str(measured) for measured in self.ranges)
+        beyond = ", ".join(sorted({str(measured) for measured in self.ranges}))
         return f"{letter}: {beyond}" if self.basis is Basis.EXTRAPOLATED else f"{letter}, x: {beyond}"
 
     @property
@@ -166,6 +175,6 @@
 
 def _noun(unit: str, value: float) -> str:
     """A unit that is a noun in the number of its value."""
-    if value != 1.0 or not unit.endswith("s"):
+    if value != 1.0:
         return unit
-    return unit.removesuffix("es") if unit == "processes" else unit.removesuffix("s")
+    return _IRREGULAR.get(unit, unit.removesuffix("s"))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -168,8 +168,16 @@
         found = {one.term: one.status for role in shown.roles for one in role.mechanisms}[RELAYS]
         assert (found is Status.RUNS) == (status is Status.RUNS)
         page = render(shown)
-        assert f"| made-up | {relays} | 7,500 | 20 | 24 |" in page and "| 750 ms |" not in page
-        assert ("| **no** |" in page) == (not held)
+        assert f"| made-up | {relays} | 7,500 | 20 | 24 | 1,000 | 10 ms | 0.75 s |" in page
+        assert f"| 0.85 s | yes | {'yes' if held else '**no**'} |" in page
+
+
+def test_a_run_that_was_late_or_missed_somebody_says_no() -> None:
+    late, missed = told_within(3.1), Told(7_500, 1, 0.1, 0.1, 0.1, 1)
+    for found in (late, missed):
+        other = msgspec.structs.replace(run(6), told_real=found)
+        page = render(capacity(read_targets(TARGETS), None, RunResults(SCHEMA, [other])))
+        assert f"| {found.last_s:g} s | **no** | yes |" in page
 
 
 # The command
@@ -404,6 +412,8 @@
         (8_000.0, "B/s", "8 kB/s"),
         (18_666.7, "/s", "18,667/s"),
         (1.0, "processes", "1 process"),
+        (1.0, "s", "1 s"),
+        (1.0, "cores", "1 core"),
         (0.0822, "/s", "0.082/s"),
     ],
 )
