--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -24,7 +24,7 @@
 from benchmarks.capacity.page import render
 from benchmarks.capacity.quantity import Basis, Quantity, assumed, derived, multiple, scaled, told
 from benchmarks.capacity.roles import Carrier, Kind, Status
-from benchmarks.capacity.targets import TARGETS, Targets, parse_targets, read_targets
+from benchmarks.capacity.targets import TARGETS, Fleet, Targets, parse_targets, read_targets
 from benchmarks.scale.records import (
     RUNS,
     SCHEMA,
@@ -273,6 +273,12 @@
     assert values == pytest.approx([16e-6, 24e-6, 32e-6, 132e-6])
 
 
+def test_a_cost_that_falls_with_size_counts_as_flat_beyond_the_range() -> None:
+    falling = made_up(at_zero=1.0, slope=-5e-5)
+    found = Measurements(falling).at("failure.restart_s", "servers", 16_000.0)
+    assert found.value == pytest.approx(0.5e-3) and found.basis is Basis.EXTRAPOLATED
+
+
 def test_without_a_line_nothing_is_extrapolated() -> None:
     measured = Measurements(
         SlopeResults(SCHEMA, [], [Point("module.place", "us", {"servers": 5.0}, [1.0])], [])
@@ -341,6 +347,32 @@
         assert (great.figures[name].value or 0.0) >= (small.figures[name].value or 0.0)
 
 
+@settings(max_examples=25, deadline=None)
+@given(st.data())
+def test_any_fleet_gets_a_whole_page(data: st.DataObject) -> None:
+    def count(least: int, most: int) -> int:
+        return data.draw(st.integers(least, most))
+
+    told_ = read_targets(TARGETS)
+    regions = count(2, 12)
+    zones = count(regions, 60)
+    connections = count(1, 10**10)
+    fleet = Fleet(
+        balancers=count(zones, 10**5),
+        connections=connections,
+        shards=count(1, 10**9),
+        largest_topic_listeners=count(1, connections),
+        deliveries_per_s=data.draw(st.floats(1.0, 1e10)),
+        delivery_within_ms=data.draw(st.floats(1.0, 1e4)),
+        delivery_part=data.draw(st.floats(0.5, 0.9999)),
+        regions=regions,
+        zones=zones,
+    )
+    budget = msgspec.structs.replace(told_.budget, machines=count(1, 200))
+    page = render(full(msgspec.structs.replace(told_, fleet=fleet, budget=budget)))
+    assert "nan" not in page and "None" not in page and "inf " not in page
+
+
 def test_multiples_are_quantities_over_budgets_of_the_same_unit() -> None:
     computed = full()
     rows = [(row.quantity, row.budget) for role in computed.roles for row in role.rows if row.budget]
