--- a/benchmarks/capacity/balancer.py
+++ b/benchmarks/capacity/balancer.py
@@ -198,7 +198,7 @@
             Mechanism(
                 "one event loop on one core, a task for each direction",
                 Status.RUNS,
-                "`core/exchange`, `fronts`",
+                "`core`, `fronts`",
             ),
             Mechanism("listening socket handed to the next version", Status.RUNS, "`management/versions`"),
             Mechanism(
