--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # build: what run and sim need; test, lint: what CI checks; run: one balancer by $EDGE_CONFIG; demo: ten seconds of a
 # small fleet round one balancer; bench-NAME: a measurement, whose last line is `bench NAME key=value ...`, with the
 # options in ARGS. Each target installs what it needs: .venv serves, .stage-venv plays stories, .ci-venv tests.
-.PHONY: build dev test lint run demo capacity bench-start bench-rebalance bench-fleet bench-spread stage stage-packages
+.PHONY: build dev test lint run demo bench-start bench-rebalance bench-fleet bench-spread stage stage-packages
 
 build:
 	test -x .venv/bin/python || python3 -m venv .venv
@@ -49,6 +49,7 @@
 bench-fleet: build
 	.venv/bin/python -m benchmarks.fleet $(ARGS)
 
+.PHONY: capacity
 # docs/CAPACITY.md from the committed results and targets
 capacity: dev
 	.ci-venv/bin/python -m benchmarks.capacity $(ARGS)
