--- a/benchmarks/capacity/configuration.py
+++ b/benchmarks/capacity/configuration.py
@@ -32,7 +32,7 @@
 
 def coalesced(inputs: Inputs) -> Quantity:
     """Messages a second that a balancer gets at most, however many changes come."""
-    return derived("/s", lambda gather: 1.0 / gather, inputs.assumed("relay_coalesce_ms"))
+    return derived("/s", lambda gather: 1.0 / gather, inputs.relay_setting("coalesce"))
 
 
 def burst_core(inputs: Inputs, servers: int) -> Quantity:
--- a/benchmarks/capacity/inputs.py
+++ b/benchmarks/capacity/inputs.py
@@ -9,7 +9,8 @@
 from benchmarks.capacity.measurements import Measurements
 from benchmarks.capacity.quantity import Quantity, assumed, derived, told
 from benchmarks.capacity.targets import Targets
-from puffinford.machines.discovery import WAIT
+from puffinford.machines.discovery import THROUGH_RELAYS, WAIT
+from puffinford.operators import RelaySettings
 
 DAY_S = 86_400.0
 PERCENT = 100.0
@@ -89,6 +90,15 @@
         """For how long a balancer's watch waits at the list service: set in this program."""
         return told(WAIT / 1_000.0, "s")
 
+    @cached_property
+    def relay_watch_wait(self) -> Quantity:
+        """The same at a relay."""
+        return told(THROUGH_RELAYS.wait / 1_000.0, "s")
+
+    def relay_setting(self, name: str) -> Quantity:
+        """A duration of the relay's settings, by its default."""
+        return told(getattr(RelaySettings(), name) / 1_000.0, "s")
+
     @cached_property
     def list_rate(self) -> Quantity:
         """Calls a second that the one list service answers."""
--- a/benchmarks/capacity/lists.py
+++ b/benchmarks/capacity/lists.py
@@ -8,13 +8,12 @@
 from benchmarks.capacity.inputs import PERCENT, Inputs
 from benchmarks.capacity.quantity import Quantity, derived, told, total
 from benchmarks.capacity.roles import Kind, Mechanism, Role, Row, Status
+from puffinford.machines.discovery import THROUGH_RELAYS
 
 RELAYS = "watch relays in one or two tiers"
 TOP_TIER = 2  # relays that alone watch the source, in the arithmetic of two tiers
-HOUR_S = 3_600.0
 DAY_S = 86_400.0
-# Balancer's watch at relays (`docs/design-relay.md`): slack, jitter and the call that goes beside a late one.
-LATE_S, JITTER_S, BESIDE_S = 0.4, 0.1, 1.0
+MS_PER_S = 1_000.0
 AGE_BOUND_S = 6.0  # a change counts as told so long after discovery had it, whatever calls failed
 
 
@@ -171,18 +170,16 @@
     count = told(relays, "relays")
     watching = told(upstream, "relays")
     each = derived("balancers", lambda whole, parts: whole / parts, fleet, count)
-    calls = derived("/s", lambda below, wait: below / wait, each, inputs.assumed("relay_wait_ms"))
+    calls = derived("/s", lambda below, wait: below / wait, each, inputs.relay_watch_wait)
     cost = call_time(inputs, each.value or 0.0)
     change = inputs.measured.each("list.change_us", each.value or 0.0, service_ms=0.0)
     core = derived("%", lambda rate, time: rate * time * PERCENT, calls, cost)
     answers = derived("s", lambda below, time: below * time, each, change)
-    upstream_calls = derived(
-        "/s", lambda above, wait: above / wait, watching, inputs.assumed("relay_upstream_wait_ms")
-    )
+    upstream_calls = derived("/s", lambda above, wait: above / wait, watching, inputs.relay_setting("wait"))
     upstream_time = derived(
         "s", lambda above, service: above * service, watching, inputs.assumed("list_service_ms")
     )
-    told_last = total(inputs.assumed("relay_coalesce_ms"), upstream_time, answers)
+    told_last = total(inputs.relay_setting("coalesce"), upstream_time, answers)
     return RelayLoad(title, count, each, calls, core, answers, upstream_calls, upstream_time, told_last)
 
 
@@ -216,9 +213,10 @@
     hour_log = derived("B", lambda changes, size: changes * size, hour, inputs.assumed("change_bytes"))
     failures = inputs.targets.failures
     a_day = failures.machines_per_day + failures.restarts_per_day
-    max_age = inputs.assumed("relay_max_age_ms")
-    silent = derived("s", lambda wait: wait + LATE_S + JITTER_S, inputs.assumed("relay_wait_ms"))
-    beside = told(BESIDE_S + JITTER_S, "s")
+    max_age = inputs.relay_setting("max_age")
+    timing = THROUGH_RELAYS
+    silent = told((timing.wait + timing.late + timing.jitter) / MS_PER_S, "s")
+    beside = told((timing.beside + timing.jitter) / MS_PER_S, "s")
     all_lists = derived("B", lambda size, count: size * count, whole_list(inputs), inputs.balancers)
     return {
         "lists.idle_calls": idle_calls(inputs),
@@ -235,7 +233,7 @@
         "lists.whole_share": derived(
             "s", lambda size, rate: size / rate, whole_list(inputs), inputs.bytes_budget
         ),
-        "lists.coalesce": inputs.assumed("relay_coalesce_ms"),
+        "lists.coalesce": inputs.relay_setting("coalesce"),
         "lists.max_age": max_age,
         "lists.silent": silent,
         "lists.beside": beside,
--- a/benchmarks/capacity/model.py
+++ b/benchmarks/capacity/model.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import importlib.util
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -23,8 +22,6 @@
 from benchmarks.capacity.targets import Targets
 from benchmarks.scale.records import RunResults, ScaleRun, SlopeResults
 
-RELAY_PACKAGE = "puffinford.relay"
-
 
 @dataclass(frozen=True)
 class Capacity:
@@ -84,13 +81,10 @@
         return sorted({series for one in self.quantities() for series in one.missing})
 
 
-def capacity(
-    targets: Targets, slopes: SlopeResults | None, runs: RunResults | None, relay: Status | None = None
-) -> Capacity:
-    """The capacity of a fleet; `relay` says how far the relay of lists has come, by default as it stands."""
+def capacity(targets: Targets, slopes: SlopeResults | None, runs: RunResults | None) -> Capacity:
+    """The capacity of a fleet by what was measured; None: nothing was."""
     inputs = Inputs(targets, Measurements(slopes))
     shown = runs.runs if runs else []
-    relay = relay or relay_status(shown)
     figures: dict[str, Quantity] = {}
     for part in (
         balancer.data_figures,
@@ -109,7 +103,7 @@
         roles=[
             balancer.control(inputs),
             balancer.data_path(inputs),
-            lists.service(inputs, relay),
+            lists.service(inputs, relay_status(shown)),
             shards.holder(inputs),
             delivery.delivery(inputs),
             detection.detection(inputs),
@@ -126,7 +120,5 @@
 
 
 def relay_status(runs: list[ScaleRun]) -> Status:
-    """Runs here once a run with relays held its size; begun where there is a package of it."""
-    if any(run.relays > 0 and run.held for run in runs):
-        return Status.RUNS
-    return Status.BEGUN if importlib.util.find_spec(RELAY_PACKAGE) else Status.MISSING
+    """Runs here once a run with relays held its size; begun until then."""
+    return Status.RUNS if any(run.relays > 0 and run.held for run in runs) else Status.BEGUN
--- a/benchmarks/capacity/targets.py
+++ b/benchmarks/capacity/targets.py
@@ -96,10 +96,6 @@
     shard_lease_s: Assumption
     shard_slots: Assumption
     exceptions_pct: Assumption
-    relay_wait_ms: Assumption
-    relay_upstream_wait_ms: Assumption
-    relay_coalesce_ms: Assumption
-    relay_max_age_ms: Assumption
 
     def single(self) -> dict[str, Assumption]:
         """All but the numbers of servers, by name, in their order."""
