--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,11 @@
 demo: stage-packages
 	.stage-venv/bin/python -m puffinford.stage.demo
 
+.PHONY: capacity
+# docs/CAPACITY.md from the committed results and targets
+capacity: dev
+	.ci-venv/bin/python -m benchmarks.capacity $(ARGS)
+
 # BEFORE=TREE plays another checkout of the program in turns
 bench-start: build
 	.venv/bin/python -m benchmarks.start $(ARGS) $(if $(BEFORE),--before $(BEFORE))
@@ -48,8 +53,3 @@
 
 bench-fleet: build
 	.venv/bin/python -m benchmarks.fleet $(ARGS)
-
-.PHONY: capacity
-# docs/CAPACITY.md from the committed results and targets
-capacity: dev
-	.ci-venv/bin/python -m benchmarks.capacity $(ARGS)
