--- /dev/null
+++ b/benchmarks/capacity/page.py
@@ -0,0 +1,388 @@
+"""The page as Markdown: the text of `page.md.j2`, with every table and figure computed."""
+
+from __future__ import annotations
+
+import re
+import textwrap
+from collections.abc import Iterable
+from pathlib import Path
+
+import jinja2
+
+from benchmarks.capacity.delivery import Hop
+from benchmarks.capacity.lists import RelayLoad
+from benchmarks.capacity.model import Capacity
+from benchmarks.capacity.quantity import Quantity, number, scaled, total
+from benchmarks.capacity.reconnecting import Loss
+from benchmarks.capacity.roles import Mechanism, Ranked, Role, Row
+from benchmarks.capacity.shards import Way
+from benchmarks.capacity.targets import Assumptions, unit_of
+from benchmarks.scale.records import Fit, Provenance, ScaleRun
+
+TEMPLATE = "page.md.j2"
+NONE = "-"
+WIDTH = 120
+_FILL = textwrap.TextWrapper(WIDTH, break_long_words=False, break_on_hyphens=False)
+LEAST_SHOWN = 0.01  # of multiples
+
+
+def render(capacity: Capacity) -> str:
+    """The whole page. Raises jinja2.UndefinedError where the text quotes a figure that there is not."""
+    environment = jinja2.Environment(
+        loader=jinja2.FileSystemLoader(Path(__file__).parent),
+        undefined=jinja2.StrictUndefined,
+        trim_blocks=True,
+        lstrip_blocks=True,
+        keep_trailing_newline=True,
+        autoescape=False,  # Markdown for a page of ours, from files of ours
+    )
+    environment.globals.update(
+        role_table=role_table,
+        mechanism_table=mechanism_table,
+        ranking_table=ranking_table,
+        way_table=way_table,
+        hop_table=hop_table,
+        loss_table=loss_table,
+        load_table=load_table,
+        run_table=run_table,
+        load_run_table=load_run_table,
+        fit_table=fit_table,
+        provenance_table=provenance_table,
+        assumption_table=assumption_table,
+        number=number,
+        ranges_of=ranges_of,
+    )
+    roles = {role.key: role for role in capacity.roles}
+    page = environment.get_template(TEMPLATE).render(capacity=capacity, q=capacity.figures, roles=roles)
+    return wrapped(page)
+
+
+def wrapped(page: str) -> str:
+    """The page with its paragraphs and points filled, and one empty line between blocks."""
+    blocks = [block.strip("\n") for block in re.split(r"\n{2,}", page)]
+    return "\n\n".join(_filled(block) for block in blocks if block.strip()) + "\n"
+
+
+def _filled(block: str) -> str:
+    if block.startswith(("|", "#")):
+        return block
+    points = re.split(r"\n(?=- )", block)
+    return "\n".join(_FILL.fill(" ".join(point.split())) for point in points)
+
+
+def markdown_table(heads: Iterable[str], rows: Iterable[Iterable[str]]) -> str:
+    """A table; a bar within a cell is escaped."""
+    names = list(heads)
+    lines = [names, ["---"] * len(names), *([cell.replace("|", "\\|") for cell in row] for row in rows)]
+    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
+
+
+def times(quantity: Quantity | None) -> str:
+    """A multiple of a budget, with its short mark."""
+    if quantity is None:
+        return NONE
+    if quantity.value is None:
+        return quantity.short
+    small = quantity.value < LEAST_SHOWN
+    shown = f"under {LEAST_SHOWN}" if small else number(quantity.value)
+    return f"{shown} ({quantity.short_mark})"
+
+
+def ranges_of(quantities: Iterable[Quantity]) -> str:
+    """The sentence that says once where what a table extrapolates was measured; empty where it does not."""
+    ranges = sorted({measured for one in quantities for measured in one.ranges})
+    if not ranges:
+        return ""
+    by_series: dict[str, list[str]] = {}
+    for measured in ranges:
+        by_series.setdefault(measured.series, []).append(str(measured))
+    told = "; ".join(f"`{series}` at {', '.join(sizes)}" for series, sizes in by_series.items())
+    return f"(x) goes beyond what was measured: {told}."
+
+
+def role_table(role: Role) -> str:
+    """The quantities of a role beside their budgets: first those that depend on the number of servers."""
+    plain = [row for row in role.rows if row.servers is None]
+    by_servers = [row for row in role.rows if row.servers is not None]
+    tables = [servers_table(by_servers)] if by_servers else []
+    tables.append(
+        markdown_table(
+            ("kind", "quantity", "value", "budget", "multiple of it"),
+            (
+                (row.kind.value, row.name, row.quantity.short, budget_of(row), times(row.multiple))
+                for row in plain
+            ),
+        )
+    )
+    tables.append(ranges_of(row.quantity for row in role.rows))
+    return "\n\n".join(part for part in tables if part)
+
+
+def servers_table(rows: list[Row]) -> str:
+    """A line for each quantity, a column for each number of servers."""
+    counts = sorted({row.servers for row in rows if row.servers is not None})
+    found = {(row.kind, row.name, row.servers): row for row in rows}
+    names = dict.fromkeys((row.kind, row.name) for row in rows)
+    return markdown_table(
+        ("kind", "quantity", "budget", *(f"{number(count)} servers" for count in counts)),
+        (
+            (
+                kind.value,
+                name,
+                budget_of(found[kind, name, counts[0]]),
+                *(value_and_times(found[kind, name, count]) for count in counts),
+            )
+            for kind, name in names
+        ),
+    )
+
+
+def budget_of(row: Row) -> str:
+    return NONE if row.budget is None else row.budget.short
+
+
+def value_and_times(row: Row) -> str:
+    """A value, and how many times its budget it is."""
+    found = row.multiple
+    if found is None or found.value is None:
+        return row.quantity.short
+    small = found.value < LEAST_SHOWN
+    return f"{row.quantity.short}: {f'under {LEAST_SHOWN}' if small else number(found.value)} times"
+
+
+def mechanism_table(mechanisms: Iterable[Mechanism]) -> str:
+    """The mechanisms of a role."""
+    return markdown_table(
+        ("mechanism", "it", "remark"),
+        ((one.term, f"*{one.status.value}*", one.remark) for one in mechanisms),
+    )
+
+
+def ranking_table(entries: Iterable[Ranked]) -> str:
+    """What is over its budget by today's mechanisms, the greatest first."""
+    return markdown_table(
+        ("multiple", "quantity", "value", "budget", "carried by", "remark"),
+        (
+            (
+                times(entry.multiple),
+                entry.name,
+                entry.quantity.short,
+                entry.budget.short,
+                entry.carrier.value,
+                entry.verdict,
+            )
+            for entry in entries
+        ),
+    )
+
+
+def way_table(ways: Iterable[Way]) -> str:
+    """How a balancer learns who serves a shard."""
+    return markdown_table(
+        (
+            "way",
+            "state of a balancer",
+            "bytes, mean",
+            "news of a lost zone, at the budget",
+            "its age",
+            "verdict",
+        ),
+        ((way.name, str(way.state), str(way.mean), str(way.zone), way.age, way.verdict) for way in ways),
+    )
+
+
+def hop_table(hops: list[Hop], queue: Quantity, together: Quantity) -> str:
+    """The tree of deliveries, with its sums; `queue` is that of all hops."""
+    rows = [
+        (
+            hop.name,
+            hop.nodes.amount,
+            hop.children.amount,
+            hop.sending.short,
+            hop.way.short,
+            hop.queue.short,
+        )
+        for hop in hops
+    ]
+    sending, way = (total(*(getattr(hop, part) for hop in hops)) for part in ("sending", "way"))
+    rows.append(("together", "", "", sending.short, way.short, queue.short))
+    heads = ("hop", "receivers", "children of a sender", "sending", "way", "queue, told part")
+    return "\n\n".join(part for part in (markdown_table(heads, rows), ranges_of([together])) if part)
+
+
+def loss_table(losses: Iterable[Loss]) -> str:
+    """What a lost rack, zone and region bring back to the others."""
+    return markdown_table(
+        (
+            "lost",
+            "clients",
+            "at each balancer left",
+            "it then holds",
+            "all back, no cryptography",
+            "with cryptography",
+            "fleet admits",
+            "jitter over",
+        ),
+        (
+            (
+                one.name,
+                one.clients.amount,
+                one.each.amount,
+                one.held.amount,
+                one.plain.short,
+                one.encrypted.short,
+                one.admission.short,
+                one.window.short,
+            )
+            for one in losses
+        ),
+    )
+
+
+def load_table(loads: Iterable[RelayLoad]) -> str:
+    """What relays carry."""
+    return markdown_table(
+        (
+            "relays",
+            "balancers each",
+            "calls each, idle",
+            "of a core",
+            "answers of one change",
+            "calls at the source",
+            "source answers all in",
+            "a change at the last",
+        ),
+        (
+            (
+                one.title,
+                number(one.balancers.value or 0.0),
+                one.idle_calls.short,
+                one.core.short,
+                one.answer_time.short,
+                one.upstream_calls.short,
+                one.upstream_time.short,
+                one.told_last.short,
+            )
+            for one in loads
+        ),
+    )
+
+
+def run_table(runs: Iterable[ScaleRun], within_s: float) -> str:
+    """Until when balancers had the changes, by runs of hollow ones beside real ones."""
+    heads = (
+        "story", "relays", "hollow", "real", "processes", "servers", "service", "p50", "p99", "last",
+        "without it", "real p99", "real last", f"99 in 100 within {number(within_s)} s", "held",
+    )  # fmt: skip
+    return markdown_table(heads, (run_row(run, within_s) for run in in_order(runs)))
+
+
+def in_order(runs: Iterable[ScaleRun]) -> list[ScaleRun]:
+    """Runs of one story and size next to one another, without relays first."""
+    return sorted(runs, key=lambda run: (run.story, run.hollow, run.servers, run.service_ms, run.relays))
+
+
+def run_row(run: ScaleRun, within_s: float) -> tuple[str, ...]:
+    """One run: its size, seconds after the change at the source, and whether it held."""
+    ours, theirs = run.told_hollow, run.told_real
+    missed = ours.missed + theirs.missed
+    in_time = missed == 0 and max(ours.p99_s, theirs.p99_s) <= within_s
+    return (
+        run.story,
+        str(run.relays),
+        number(run.hollow),
+        number(run.real),
+        str(run.processes),
+        number(run.servers),
+        f"{number(run.service_ms)} ms",
+        f"{number(ours.p50_s)} s",
+        f"{number(ours.p99_s)} s",
+        f"{number(ours.last_s)} s",
+        number(missed),
+        f"{number(theirs.p99_s)} s",
+        f"{number(theirs.last_s)} s",
+        "yes" if in_time else "**no**",
+        "yes" if run.held else "**no**",
+    )
+
+
+def load_run_table(runs: Iterable[ScaleRun]) -> str:
+    """What the same runs cost; of a core, the mean over a run."""
+    heads = (
+        "story", "relays", "hollow", "calls at the source", "peak", "sent", "its core", "calls of a balancer",
+        "bytes", "hollow's core", "hollow's memory", "real's core", "real's memory", "relay's core, most",
+        "relay's memory", "relay sends",
+    )  # fmt: skip
+    return markdown_table(heads, (load_run_row(run) for run in in_order(runs)))
+
+
+def load_run_row(run: ScaleRun) -> tuple[str, ...]:
+    """What one run cost."""
+    relays = run.relays > 0
+    return (
+        run.story,
+        str(run.relays),
+        number(run.hollow),
+        scaled(run.source_calls_per_s, "/s"),
+        scaled(run.source_calls_peak, "/s"),
+        scaled(run.source_bytes_per_s, "B/s"),
+        scaled(run.source_core_pct, "%"),
+        scaled(run.calls_per_balancer_s, "/s"),
+        scaled(run.bytes_per_balancer_s, "B/s"),
+        scaled(run.hollow_core_pct, "%"),
+        f"{number(run.hollow_kib)} KiB",
+        scaled(run.real_core_pct, "%"),
+        f"{number(run.real_mib)} MiB",
+        scaled(run.relay_core_pct_most, "%") if relays else NONE,
+        f"{number(run.relay_mib)} MiB" if relays else NONE,
+        scaled(run.relay_bytes_per_s, "B/s") if relays else NONE,
+    )
+
+
+def fit_table(fits: Iterable[Fit]) -> str:
+    """The fitted lines."""
+    return markdown_table(
+        ("series", "over", "fixed", "range", "slope", "of single runs", "intercept", "residual", "runs"),
+        (
+            (
+                fit.series,
+                fit.over,
+                ", ".join(f"{name} {number(size)}" for name, size in sorted(fit.fixed.items())) or NONE,
+                f"{number(fit.low)} to {number(fit.high)}",
+                f"{fit.slope:.3g} {fit.unit}",
+                f"{fit.slope_low:.3g} to {fit.slope_high:.3g}",
+                f"{fit.intercept:.3g}",
+                f"{fit.residual:.3g}",
+                str(fit.runs),
+            )
+            for fit in sorted(fits, key=lambda fit: (fit.series, fit.over, sorted(fit.fixed.items())))
+        ),
+    )
+
+
+def provenance_table(measured: Iterable[Provenance]) -> str:
+    """Where and when was measured; what is the same stands once."""
+    rows = [
+        (
+            one.date,
+            one.commit,
+            f"{one.machine.cores} cores, {number(one.machine.memory_gib)} GiB, "
+            f"{one.machine.python}, {one.machine.system}",
+            one.remarks or NONE,
+        )
+        for one in measured
+    ]
+    return markdown_table(("date", "commit", "machine", "remarks"), dict.fromkeys(rows))
+
+
+def assumption_table(assumptions: Assumptions) -> str:
+    """Everything that is assumed, with its reasons."""
+    counts = ", ".join(number(count) for count in assumptions.server_counts)
+    rows = [("server counts", counts, "the operators do not tell how many")]
+    for name, assumption in assumptions.single().items():
+        unit, _ = unit_of(name)
+        ending = {"%": "pct"}.get(unit, name.rpartition("_")[2]) if unit else ""
+        title = name.removesuffix("_per_s").removesuffix(f"_{ending}").replace("_", " ")
+        shown = assumptions.quantity(name)
+        rows.append((title, shown.amount, assumption.reason))
+    return markdown_table(("assumed", "value", "reason"), rows)
--- /dev/null
+++ b/benchmarks/capacity/ranking.py
@@ -0,0 +1,180 @@
+"""Which quantities are over their budgets by today's mechanisms, and what is built first.
+
+Ranked is what the program does today, or would do with what it has, at the operators' size. Of the quantities
+over their budgets that this program can bring under them by the protocol it has, the greatest comes first.
+"""
+
+from __future__ import annotations
+
+from benchmarks.capacity import balancer, configuration, delivery, lists, reconnecting, shards
+from benchmarks.capacity.inputs import Inputs
+from benchmarks.capacity.quantity import assumed
+from benchmarks.capacity.roles import Carrier, Ranked
+
+
+def ranking(inputs: Inputs) -> list[Ranked]:
+    """All ranked quantities, the greatest multiple of its budget first and the unmeasured ones last."""
+    entries = [*_fleet(inputs), *_balancer(inputs)]
+    return sorted(
+        entries, key=lambda entry: -(entry.multiple.value if entry.multiple.value is not None else -1.0)
+    )
+
+
+def first(entries: list[Ranked]) -> Ranked | None:
+    """What is built first: the greatest over its budget that the program can carry."""
+    return next((entry for entry in over(entries) if entry.carrier is Carrier.PROGRAM), None)
+
+
+def over(entries: list[Ranked]) -> list[Ranked]:
+    """The entries that are over their budgets."""
+    return [entry for entry in entries if (entry.multiple.value or 0.0) > 1.0]
+
+
+def _fleet(inputs: Inputs) -> list[Ranked]:
+    zone = reconnecting.zone_loss(inputs)
+    spread = assumed(inputs.targets.assumed.return_within_s.value, "s")
+    herd = reconnecting.herd_rate(zone)
+    rate = reconnecting.admission_rate(inputs, reconnecting.connection_cost(inputs))
+    within = inputs.in_force_within
+    return [
+        Ranked(
+            "largest topic written by one process alone",
+            delivery.alone(inputs),
+            delivery.within(inputs),
+            Carrier.PROTOCOL,
+            "a tree needs a protocol for topics; what a topic is to a balancer is asked first",
+        ),
+        Ranked(
+            "all shards in a balancer, each held as a server is today",
+            shards.as_servers(inputs),
+            inputs.memory_budget,
+            Carrier.ANOTHER,
+            "nothing holds shards today; avoided by hashing to slots, which a store of another system holds",
+        ),
+        Ranked(
+            "one change at the last process, where each of a balancer's asks the list service directly",
+            lists.direct_time_by_process(inputs),
+            within,
+            Carrier.PROGRAM,
+            "relays fan it out by the same protocol; one on each balancer's machine is one more tier",
+        ),
+        Ranked(
+            "one change at the last balancer, list service asked directly, by arithmetic",
+            lists.direct_time(inputs),
+            within,
+            Carrier.PROGRAM,
+            "relays fan it out by the same protocol",
+        ),
+        Ranked(
+            "one change at the last balancer, list service asked directly, as measured",
+            lists.measured_told(inputs, "last"),
+            within,
+            Carrier.PROGRAM,
+            "relays, as by arithmetic",
+        ),
+        Ranked(
+            "calls at the list service when nothing changes, directly",
+            lists.idle_calls(inputs),
+            inputs.list_rate,
+            Carrier.PROGRAM,
+            "relays: calls at the source grow with them, not with balancers",
+        ),
+        Ranked(
+            "a list at the last balancer after all watches were reset",
+            lists.reset_time(inputs),
+            within,
+            Carrier.PROGRAM,
+            "relays, which keep the list and a log of changes, and admit whole lists in turns",
+        ),
+        Ranked(
+            "answers of the list service in the mean of a day, each change to each balancer by itself",
+            configuration.direct_answers(inputs),
+            inputs.list_rate,
+            Carrier.PROGRAM,
+            "relays, and coalescing",
+        ),
+        Ranked(
+            "a lost zone's clients, all back within a second, without cryptography",
+            herd,
+            rate,
+            Carrier.ANOTHER,
+            "jitter is the clients'; admission by the balancer's processor time would be the program's",
+        ),
+        Ranked(
+            "a lost zone's clients, back as fast as processors allow, with cryptography",
+            zone.encrypted,
+            spread,
+            Carrier.PROCESSES,
+            "scales with processes; cryptography is not wanted now",
+        ),
+    ]
+
+
+def _balancer(inputs: Inputs) -> list[Ranked]:
+    many = inputs.server_counts[-1]
+    mean = inputs.changes_per_s.value or 0.0
+    return [
+        Ranked(
+            "deliveries of a balancer in one process",
+            inputs.data_cores,
+            inputs.process_cores,
+            Carrier.PROCESSES,
+            "scales with processes, each a balancer of its own today",
+        ),
+        Ranked(
+            f"memory of control in all of a balancer's processes, {many:,} servers",
+            balancer.memory_of_all(inputs, many),
+            inputs.memory_budget,
+            Carrier.SHAPE,
+            "control in one process beside those of the data path; most of it is the interpreter's",
+        ),
+        Ranked(
+            "processor time of all of a balancer's processes, connections at rest",
+            balancer.rest_of_all(inputs),
+            inputs.core_budget,
+            Carrier.PROGRAM,
+            "what looks at each connection in turn could wait for the one that is due",
+        ),
+        Ranked(
+            f"largest burst change by change, {many:,} servers, until it is taken",
+            balancer.burst_time(inputs, many),
+            inputs.in_force_within,
+            Carrier.PROGRAM,
+            "coalescing, which comes with relays, makes one call of the module out of many changes",
+        ),
+        Ranked(
+            f"largest burst change by change, {many:,} servers, of a core over the budget's window",
+            configuration.burst_core(inputs, many),
+            inputs.core_budget,
+            Carrier.PROGRAM,
+            "coalescing",
+        ),
+        Ranked(
+            "bytes of the largest burst at a balancer, over the budget's window",
+            configuration.burst_bytes(inputs),
+            inputs.bytes_budget,
+            Carrier.PROGRAM,
+            "none needed",
+        ),
+        Ranked(
+            f"memory of control in one process, {many:,} servers",
+            balancer.control_memory(inputs, many),
+            inputs.memory_budget,
+            Carrier.PROGRAM,
+            "subsetting would bound what grows with servers",
+        ),
+        Ranked(
+            f"processor time of control in one process, {many:,} servers, told mean of changes",
+            balancer.control_core(inputs, many, mean),
+            inputs.core_budget,
+            Carrier.PROGRAM,
+            "subsetting would bound it",
+        ),
+        Ranked(
+            f"bytes of control, {many:,} servers, told mean of changes",
+            balancer.control_bytes(inputs, many, mean),
+            inputs.bytes_budget,
+            Carrier.PROGRAM,
+            "none needed",
+        ),
+    ]
