--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,9 @@
 # build: what run and sim need; test, lint: what CI checks; run: one balancer by $EDGE_CONFIG; demo: ten seconds of a
 # small fleet round one balancer; bench-NAME: a measurement, whose last line is `bench NAME key=value ...`, with the
-# options in ARGS. Each target installs what it needs: .venv serves, .stage-venv plays stories, .ci-venv tests.
+# options in ARGS. Each target installs what it needs: .venv serves, .stage-venv plays stories, .bench-venv
+# measures slopes, .ci-venv tests.
 .PHONY: build dev test lint run demo bench-start bench-rebalance bench-fleet bench-spread stage stage-packages
+.PHONY: bench-scale bench-packages
 
 build:
 	test -x .venv/bin/python || python3 -m venv .venv
@@ -16,6 +18,10 @@
 	test -x .stage-venv/bin/python || python3 -m venv .stage-venv
 	.stage-venv/bin/pip -q install --disable-pip-version-check -r requirements-stage.txt
 
+bench-packages:
+	test -x .bench-venv/bin/python || python3 -m venv .bench-venv
+	.bench-venv/bin/pip -q install --disable-pip-version-check -r requirements-bench.txt
+
 test: dev
 	.ci-venv/bin/python -m pytest -q -p no:cacheprovider
 
@@ -48,3 +54,7 @@
 
 bench-fleet: build
 	.venv/bin/python -m benchmarks.fleet $(ARGS)
+
+# the slopes (docs/scale-slopes.md); without ARGS it takes a quarter of an hour and writes the committed results anew
+bench-scale: bench-packages
+	.bench-venv/bin/python -m benchmarks.scale $(ARGS)
--- a/benchmarks/scale/records.py
+++ b/benchmarks/scale/records.py
@@ -58,6 +58,7 @@
     inputs: dict[str, NotNegative]  # for example {"servers": 1000}
     values: Annotated[list[float], msgspec.Meta(min_length=1)]
     seeds: list[int] = []
+    measured: Count = 0  # its place in the results' `measured`: which machine, program and moment
 
 
 class Fit(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
