--- a/benchmarks/scale/list_service.py
+++ b/benchmarks/scale/list_service.py
@@ -1,7 +1,7 @@
 """The project's stand-in for the list service as a process of its own, with a count of its calls and bytes.
 
-python -m benchmarks.scale.list_service SERVERS CHANGES_PER_S SERVICE_MS SEED [HOST:PORT...]; its first line is
-its own HOST:PORT. The servers have the addresses told, or ones at which nothing is.
+python -m benchmarks.scale.list_service SERVERS CHANGES_PER_S SERVICE_MS SEED [HOST:PORT...]; its first line
+is its own HOST:PORT. The servers have the addresses told, or ones at which nothing is.
 Commands: `figures`, `change` (one entry, now), `break` (all watches are reset), `open` (calls that are out).
 Changes a second come at even distances. Nothing is kept of what was told, as a stage's stand-in would do.
 """
--- a/benchmarks/scale/module.py
+++ b/benchmarks/scale/module.py
@@ -1,7 +1,7 @@
 """Series of the decision module alone: settable time, one process, processor time of that process.
 
-Memory is what tracemalloc counts as held by the module, all of it, so that slopes are bytes a server and bytes
-a connection.
+Memory is what tracemalloc counts as held by the module, all of it, so that slopes are bytes a server and
+bytes a connection.
 """
 
 from __future__ import annotations
@@ -69,7 +69,7 @@
 
 
 def over_own_groups(sizes: Sizes, seed: int) -> Iterator[Sample]:
-    """The same where each connection has a group of its own, and was inherited at a server drawn at random."""
+    """The same with a group for each connection, which was inherited at a server drawn at random."""
     driver = Driver(sizes.at_servers, sizes.at_balancers, 0, seed)
     driver.tell_whole()
     for standing in sizes.standing:
--- a/benchmarks/scale/sizes.py
+++ b/benchmarks/scale/sizes.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True)
 class Sizes:
-    """Sizes of every series; times in seconds of wall clock. Where one input varies, `at_*` fixes the others."""
+    """Sizes of every series; `_s` is in seconds of wall clock. `at_*` holds where another input varies."""
 
     at_servers: int = 1_000
     at_balancers: int = 7_500  # those that a module is told of
--- a/benchmarks/scale/store.py
+++ b/benchmarks/scale/store.py
@@ -30,7 +30,7 @@
 
 
 def join(kept: SlopeResults, provenance: Provenance, points: Sequence[Point]) -> SlopeResults:
-    """The kept results with `points`, whose `measured` is taken for `provenance`, in place of their series."""
+    """The kept results with `points`, all measured by `provenance`, in place of their series."""
     anew = {point.series for point in points}
     measured = [*kept.measured, provenance]
     found = [point for point in kept.points if point.series not in anew]
--- a/benchmarks/scale/watchers.py
+++ b/benchmarks/scale/watchers.py
@@ -1,9 +1,9 @@
 """Many watches of one list service in a process of their own.
 
 python -m benchmarks.scale.watchers HOST:PORT NUMBER KIND SEED; its first line tells its number. KIND is
-`scripted` (cheap: a call after the other, which waits as long as it takes) or `program` (the program's own list
-client and the decision module's backoff, with fronts left out). Commands: `listed` (watches that have a list),
-`told VERSION` (the moments at which watches had it).
+`scripted` (cheap: a call after the other, which waits as long as it takes) or `program` (the program's own
+list client and the decision module's backoff, with fronts left out). Commands: `listed` (watches that have a
+list), `told VERSION` (the moments at which watches had it).
 """
 
 from __future__ import annotations
@@ -15,7 +15,6 @@
 import sys
 import time
 from collections import defaultdict
-from typing import Literal
 
 import anyio
 import anyio.abc
@@ -129,7 +128,7 @@
         self._handle(Timer(timer.token))
 
 
-async def serve(host: str, port: int, number: int, kind: Literal["scripted", "program"], seed: int) -> None:
+async def serve(host: str, port: int, number: int, kind: str, seed: int) -> None:
     """Run until the input ends."""
     book, clock = Book(), Clock()
     async with anyio.create_task_group() as tasks:
