--- a/tests/test_scale_records.py
+++ b/tests/test_scale_records.py
@@ -129,6 +129,8 @@
     assert done.exit_code == 0, done.output
     assert "bench scale series=10 " in done.output.splitlines()[-1]
     made = load(path)
+    told = {name for part in parts(QUICK) for name in part.series if name.startswith("module")}
+    assert {point.series for point in made.points} == told, "parts say what they measure"
     assert all(point.series.startswith("module.") and point.seeds == [1, 2] for point in made.points)
     memory = {fit.over: fit.slope for fit in made.fits if fit.unit == "B"}
     assert 300 < memory["servers"] < 3_000 and 300 < memory["standing"] < 3_000
@@ -210,7 +212,8 @@
         ("control.standing_core_pct", {"rest"}),
         ("data", {"rest", "lines"}),
         ("failure.zone_seconds", {"zone"}),
-        ("module.place_own", {"own_groups", "servers", "standing", "balancers"}),
+        ("module.place_own", {"own_groups"}),
+        ("module.place", {"own_groups", "servers", "standing", "balancers"}),
     ],
 )
 def test_a_prefix_chooses_the_parts_that_measure_it(prefix: str, names: set[str]) -> None:
