--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -30,7 +30,7 @@
     return f"{os.getloadavg()[0]:.1f}"
 
 
-def points_of(outcomes: dict[str, Outcome], only: str) -> list[Point]:
+def points_of(outcomes: dict[str, Outcome], only: tuple[str, ...]) -> list[Point]:
     """The points of every part that was held in all runs."""
     points: list[Point] = []
     for outcome in outcomes.values():
@@ -41,7 +41,7 @@
     return points
 
 
-def show(results: SlopeResults, only: str) -> None:
+def show(results: SlopeResults, only: tuple[str, ...]) -> None:
     """The lines as a table."""
     rows = []
     for fit in results.fits:
@@ -56,12 +56,12 @@
 
 
 def measure(
-    only: str, runs: int, quick: bool, cores: float, remarks: str
+    only: tuple[str, ...], runs: int, quick: bool, cores: float, remarks: str
 ) -> tuple[Provenance, dict[str, Outcome]]:
     """Run every part that is wanted."""
     chosen = [part for part in parts(QUICK if quick else FULL) if part.wanted(only)]
     if not chosen:
-        raise BadRecord(f"--only: no series begins with {only!r}")
+        raise BadRecord(f"--only: no series begins with {' or '.join(only)}")
     began, date, program = load_average(), records.now_utc(), commit()
 
     async def all_parts() -> dict[str, Outcome]:
@@ -75,14 +75,17 @@
 
 
 @click.command()
-@click.option("--only", default="", metavar="PREFIX", help="Series that begin so; the others are kept.")
+@click.option("--only", multiple=True, metavar="PREFIX", help="Series that begin so; the others are kept.")
 @click.option("--runs", default=5, show_default=True, type=click.IntRange(min=1), help="Seeds 1 to this.")
 @click.option("--quick", is_flag=True, help="Small sizes, in under a minute; kept only with --results.")
 @click.option("--results", type=click.Path(path_type=Path, dir_okay=False), help="Where results are kept.")
 @click.option("--cores", default=2.0, show_default=True, type=click.FloatRange(min=0.1), help="To keep busy.")
 @click.option("--remarks", default="", help="What else runs on the machine; kept with the figures.")
-def main(only: str, runs: int, quick: bool, results: Path | None, cores: float, remarks: str) -> None:
+def main(
+    only: tuple[str, ...], runs: int, quick: bool, results: Path | None, cores: float, remarks: str
+) -> None:
     """Measure, print the lines, and keep the results."""
+    only = only or ("",)  # all of them
     path = results or (None if quick else records.SLOPES)
     try:
         kept = load(path) if path is not None else EMPTY
