--- a/benchmarks/scale/control.py
+++ b/benchmarks/scale/control.py
@@ -12,7 +12,7 @@
 import urllib.error
 import urllib.request
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from pathlib import Path
 
 import anyio
@@ -58,7 +58,10 @@
     began = time.monotonic()
     process.start()
     while not await anyio.to_thread.run_sync(healthy, process):
-        if time.monotonic() > began + READY_MOST or not process.running:
+        if not process.running:
+            last = process.log.read_text(errors="replace").strip().splitlines()[-1:]
+            raise NotHeld(f"{process.name} has ended: {' '.join(last)}")
+        if time.monotonic() > began + READY_MOST:
             raise NotHeld(f"{process.name} was not ready within {READY_MOST:g} s")
         await anyio.sleep(LOOK)
     return time.monotonic() - began
@@ -83,8 +86,11 @@
     sizes: Sizes, servers: int, changes: float, seed: int, turn: anyio.Lock, found: list[Sample]
 ) -> None:
     inputs = {"servers": float(servers), "changes_per_s": changes}
-    with helper("list_service", servers, changes, 0, seed) as lists, balancer(lists.ready, seed) as process:
+    with ExitStack() as stack:
+        lists = stack.enter_context(helper("list_service", servers, changes, 0, seed))
         async with turn:
+            # Its ports are free now; by its turn another process may have taken them.
+            process = stack.enter_context(balancer(lists.ready, seed))
             seconds = await start(process)
         if not changes:
             started: dict[str, float] = {"servers": servers}
