Give list source, guard and exchange one wiring of their own: state/list_client

Cause: the service held the only wiring of DiscoveryWatch or inventory, ListGuard and exchange, so that nothing else could run the program's own list client.

Change: `ListClient` holds it, and `Service` uses it; the constructor of the watch stands in one place (`ListClient.watch`). Behaviour is unchanged; `discovery doubted` is now logged from state.list_client.

--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -16,7 +16,7 @@
 from puffinford.core.clock import Clock
 from puffinford.core.exchange import Exchange
 from puffinford.core.places import state_path
-from puffinford.core.values import MachineList, ServerSide
+from puffinford.core.values import ServerSide
 from puffinford.fronts.channels.server import ChannelServers
 from puffinford.fronts.channels.submitter import ChannelSubmitters
 from puffinford.fronts.lines.server import LineServers
@@ -35,15 +35,13 @@
     inherited,
     local_address,
 )
-from puffinford.machines.discovery import DiscoveryWatch
-from puffinford.machines.inventory import InventoryFile
 from puffinford.management.calls import Calls
 from puffinford.management.cordons import Cordons
 from puffinford.management.http import HttpCalls
 from puffinford.management.versions import Versions
 from puffinford.rebalance.service import Rebalancer, figures
 from puffinford.state.keeper import Keeper, store_file
-from puffinford.state.recovery import ListGuard
+from puffinford.state.list_client import ListClient
 
 log = logging.getLogger(__name__)
 
@@ -106,19 +104,13 @@
             frozenset(cls.name for cls in config.settings.classes),
         )
         start = self._keeper.start(config.known)
-        self._restored = start.restored
-        self._guard = ListGuard(start.version, start.restored.machines.machines)
-        self._source: DiscoveryWatch | InventoryFile
+        self._list = ListClient(exchange, start, clock, self._keeper.note_list)
         if config.inventory is not None:
-            self._source = InventoryFile(config.inventory, clock, self._take_list)
-            self._source.check()
+            self._list.read(config.inventory)
         else:
             assert config.discovery is not None
             unprompted = not config.settings.list_on_request
-            rng = random.Random(config.seed ^ 0xD15C)
-            self._source = DiscoveryWatch(
-                config.discovery, start.version, clock, self._take_list, unprompted, rng
-            )
+            self._list.watch(config.discovery, unprompted=unprompted, seed=config.seed)
         clients = LineSubmitters(self._exchange, door)
         self._lines = Front("lines", clients.handle, door, turn_away=clients.turn_away)
         self._channels = Front("channels", ChannelSubmitters(self._exchange, door).handle, door)
@@ -137,21 +129,6 @@
         self._draining = False
         self._ready = False
 
-    def _take_list(self, machines: MachineList | None) -> int | None:
-        """An answer of the list's source, or None for none; the version that the next call goes on from."""
-        if machines is None:
-            self._exchange.take_list(None)
-            return self._guard.version
-        if isinstance(self._source, InventoryFile):
-            self._guard.moved()  # the file counts anew in each process, and is the operators' word
-        taken = self._guard.judge(machines)
-        if taken.note:
-            log.warning("discovery doubted", extra={"why": taken.note})
-        if taken.machines is not None:
-            self._exchange.take_list(taken.machines)
-            self._keeper.note_list(taken.machines)
-        return taken.version
-
     async def run(self) -> None:
         signums = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         try:
@@ -165,8 +142,8 @@
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
                 tasks.start_soon(self._channel_servers.run)
-                tasks.start_soon(self._exchange.run, self._source, self._restored)
-                tasks.start_soon(self._source.run)
+                tasks.start_soon(self._exchange.run, self._list.source, self._list.restored)
+                tasks.start_soon(self._list.source.run)
                 tasks.start_soon(self._keeper.run)
                 if self._config.operators.rebalance.enabled:
                     self._start_rebalancing()
@@ -328,10 +305,8 @@
         self._exchange.configure(config.settings)
         self._line_servers.connect_timeout = config.settings.connect_timeout
         self._channel_servers.connect_timeout = config.settings.connect_timeout
-        if isinstance(self._source, DiscoveryWatch) and config.discovery is not None:
-            if config.discovery != old.discovery:
-                self._guard.moved()
-            self._source.move(config.discovery)
+        if config.discovery is not None:
+            self._list.move(config.discovery, changed=config.discovery != old.discovery)
         self._listen(made)
         self._name_absent()
         log.info("reloaded", extra={"balancer": config.name})
--- /dev/null
+++ b/puffinford/state/list_client.py
@@ -0,0 +1,83 @@
+"""The list client: where server lists come from, what judges each, and the exchange that takes them.
+
+`serve` runs one, and so does each hollow balancer of `puffinford.scale`.
+"""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Protocol
+
+from puffinford.core.clock import Clock
+from puffinford.core.values import MachineList, Restored
+from puffinford.machines.discovery import DiscoveryWatch
+from puffinford.machines.inventory import InventoryFile
+from puffinford.state.recovery import ListGuard, Start
+
+log = logging.getLogger(__name__)
+
+ListSource = DiscoveryWatch | InventoryFile
+_WATCH_SEED = 0xD15C  # keeps the draws of the watch apart from those of the decision module
+
+
+class ListTaker(Protocol):
+    """What goes by the lists: the exchange."""
+
+    def take_list(self, machines: MachineList | None) -> None:
+        """A list has come, or (None) a call for one has failed."""
+
+
+class ListClient:
+    """Asks one source for server lists, has each judged, and passes on what is to be taken.
+
+    `source` is for the exchange, which asks through it, and is run beside it.
+    """
+
+    def __init__(
+        self, exchange: ListTaker, start: Start, clock: Clock, note: Callable[[MachineList], None]
+    ) -> None:
+        """`start` is what there is to go by before the source has spoken; `note` hears each list that was
+        taken, once it is in force. `watch` or `read` names the source, before anything runs.
+        """
+        self.restored: Restored = start.restored
+        self.source: ListSource
+        self._exchange = exchange
+        self._version = start.version
+        self._clock = clock
+        self._note = note
+        self._guard = ListGuard(start.version, start.restored.machines.machines)
+
+    def watch(self, discovery: tuple[str, int], *, unprompted: bool, seed: int) -> None:
+        """Take lists from discovery; `unprompted` where changes count as told without being asked for."""
+        rng = random.Random(seed ^ _WATCH_SEED)
+        self.source = DiscoveryWatch(discovery, self._version, self._clock, self._take, unprompted, rng)
+
+    def read(self, inventory: Path) -> None:
+        """Take lists from an inventory file; raises as `InventoryFile.check` does."""
+        self.source = InventoryFile(inventory, self._clock, self._take)
+        self.source.check()
+
+    def move(self, discovery: tuple[str, int], *, changed: bool) -> None:
+        """Discovery answers there from now on; `changed` where that is another address than before."""
+        if isinstance(self.source, DiscoveryWatch):
+            if changed:
+                self._guard.moved()
+            self.source.move(discovery)
+
+    def _take(self, machines: MachineList | None) -> int | None:
+        """An answer of the list's source, or None for none; the version that the next call goes on from."""
+        if machines is None:
+            self._exchange.take_list(None)
+            return self._guard.version
+        if isinstance(self.source, InventoryFile):
+            self._guard.moved()  # the file counts anew in each process, and is the operators' word
+        taken = self._guard.judge(machines)
+        if taken.note:
+            log.warning("discovery doubted", extra={"why": taken.note})
+        if taken.machines is not None:
+            self._exchange.take_list(taken.machines)
+            self._note(taken.machines)
+        return taken.version
