Play scale runs: hollow balancers, many to a process, beside real ones

Cause: what a fleet of thousands does to the list service, and how long a change takes to reach all of it, could only be worked out on paper.

Change: `puffinford.scale`. A hollow balancer is the program's own ListClient, DiscoveryWatch, ListGuard, Exchange and Balancer, with a server side and clients that have no sockets. A run starts a list service of its own process (`standins/lists`, the protocol of `standins/discovery`, with a service time a call), hollow processes and real balancers, plays a story and gives a typed record. A run that could not hold its size says so (exit code 2). Hollow and real balancers are compared at one size first; one that skips lists or placing fails that comparison.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build: what run and sim need; test, lint: what CI checks; run: one balancer by $EDGE_CONFIG; demo: ten seconds of a
 # small fleet round one balancer; bench-NAME: a measurement, whose last line is `bench NAME key=value ...`
-.PHONY: build dev test lint run demo bench-start bench-rebalance bench-fleet bench-spread stage
+.PHONY: build dev test lint run demo bench-start bench-rebalance bench-fleet bench-spread bench-scale-runs stage
 
 build:
 	test -x .venv/bin/python || python3 -m venv .venv
@@ -43,3 +43,7 @@
 
 bench-fleet: build
 	.venv/bin/python -m benchmarks.fleet
+
+# RUNS="--hollow 1500 --processes 6 --real 4 --story calm"; docs/scale.md. The records need git for their commit
+bench-scale-runs: dev
+	.ci-venv/bin/python -m benchmarks.scale.runs $(RUNS)
--- /dev/null
+++ b/benchmarks/scale/runs.py
@@ -0,0 +1,178 @@
+"""`make bench-scale-runs`: stories of hollow balancers beside real ones, at a size told (docs/scale.md).
+
+First hollow and real balancers are compared at one size; where they disagree nothing else is played, and the
+exit code is 1. A run that could not hold its size says so, is not kept, and the exit code is 2.
+
+python -m benchmarks.scale.runs --hollow N --processes P --real R --story NAME [--relays K]
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+
+import anyio
+import click
+
+from puffinford.scale.messages import Crowd, Skip
+from puffinford.scale.records import BadRecords, ScaleRun, ScaleRuns, read_runs, write_runs
+from puffinford.scale.run import NotHeld, Run, RunPlan
+from puffinford.scale.stories import DIRECT, FULL, STORIES, WITH_RELAYS, story
+from puffinford.tables import table
+
+RESULTS = Path("benchmarks/scale/results/runs.json")
+TWINS = 8  # hollow and as many real balancers that have to agree
+TWIN_SPAN = 12.0  # seconds
+TWIN_CROWD = Crowd(rate=2.0, life_ms=4_000.0)
+HEADS = (
+    "story", "hollow", "real", "told p50", "p99", "last", "missed", "real p99", "last", "missed", "calls/s",
+    "peak", "queue", "list cpu %", "hollow cpu %", "B/s", "KiB", "late p99",
+)  # fmt: skip
+
+
+def twins(seed: int, skip: Skip = Skip.NOTHING, span: float = TWIN_SPAN) -> RunPlan:
+    """The run in which hollow and real balancers have to agree."""
+    return RunPlan(
+        story=story("busy", span),
+        hollow=TWINS,
+        processes=1,
+        real=TWINS,
+        seed=seed,
+        crowd=TWIN_CROWD,
+        twins=True,
+        skip=skip,
+    )
+
+
+def play(plan: RunPlan) -> ScaleRun:
+    """One run, whose logs go with it; raises NotHeld."""
+    with tempfile.TemporaryDirectory() as directory:
+        return anyio.run(Run(plan, Path(directory)).play)
+
+
+def row(run: ScaleRun) -> tuple[object, ...]:
+    """A run as a line of the table."""
+    ours, theirs, load = run.hollow_told, run.real_told, run.hollow_load
+    lists = run.list_service
+    size = "-" if load.bytes_a_second is None else f"{load.bytes_a_second:.0f}"
+    return (
+        run.story, run.hollow, run.real, ours.p50_ms, ours.p99_ms, ours.last_ms, ours.missed, theirs.p99_ms,
+        theirs.last_ms, theirs.missed, lists.calls_a_second, lists.calls_peak, lists.queue_most,
+        lists.cpu_percent, f"{load.cpu_percent:.3f}", size, load.resident_kib, run.lateness.p99_ms,
+    )  # fmt: skip
+
+
+def summary(runs: list[ScaleRun], disagreements: int | None) -> str:
+    """The one line."""
+    pieces = [] if disagreements is None else [f"disagreements={disagreements}"]
+    for run in runs:
+        name = run.story.replace("-", "_")
+        pieces += [
+            f"{name}_held={int(run.held)}",
+            f"{name}_p99_ms={run.hollow_told.p99_ms:.0f}",
+            f"{name}_last_ms={run.hollow_told.last_ms:.0f}",
+            f"{name}_missed={run.hollow_told.missed + run.real_told.missed}",
+            f"{name}_calls_a_second={run.list_service.calls_a_second:.0f}",
+        ]
+    return "bench scale-runs " + " ".join(pieces)
+
+
+def keep(path: Path, new: list[ScaleRun]) -> None:
+    """Add the runs to a results file, each in place of one of the same story, size and settings."""
+    held = read_runs(path.read_bytes(), str(path)).runs if path.exists() else []
+    fresh = {_key(run): run for run in new}
+    kept = [run for run in held if _key(run) not in fresh]
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_bytes(write_runs(ScaleRuns(runs=[*kept, *fresh.values()])))
+
+
+def _key(run: ScaleRun) -> tuple[object, ...]:
+    return (run.story, run.distribution, run.hollow, run.real, run.relays, run.servers, run.service_ms)
+
+
+@click.command()
+@click.option("--hollow", default=1_000, show_default=True, help="hollow balancers")
+@click.option("--processes", default=4, show_default=True, help="processes that hold them")
+@click.option("--real", default=4, show_default=True, help="real balancers beside them")
+@click.option("--relays", default=0, show_default=True, help="relays between; 0: none")
+@click.option("--story", "names", type=click.Choice([*STORIES, "all"]), multiple=True, default=("all",))
+@click.option("--servers", default=100, show_default=True)
+@click.option("--service-ms", default=0.0, show_default=True, help="what a call takes at the list service")
+@click.option("--rate", default=0.05, show_default=True, help="arrivals a second at each balancer")
+@click.option("--span", default=FULL, show_default=True, help="seconds of a story")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--agreement/--no-agreement", default=True, show_default=True, help="compare first")
+@click.option("--results", type=click.Path(path_type=Path), default=RESULTS, show_default=True)
+def main(
+    hollow: int,
+    processes: int,
+    real: int,
+    relays: int,
+    names: tuple[str, ...],
+    servers: int,
+    service_ms: float,
+    rate: float,
+    span: float,
+    seed: int,
+    agreement: bool,
+    results: Path,
+) -> None:
+    """Play stories, print a table and the one line, and keep the records."""
+    disagreements = None
+    plan = RunPlan(
+        story=story("calm", span),
+        hollow=hollow,
+        processes=processes,
+        real=real,
+        relays=relays,
+        servers=servers,
+        service_ms=service_ms,
+        seed=seed,
+        crowd=Crowd(rate=rate),
+    )
+    chosen = list(names)
+    if "all" in names:
+        chosen = [*DIRECT, *(WITH_RELAYS if relays else {})]
+    runs: list[ScaleRun] = []
+    try:
+        if agreement:
+            disagreements = _agree(seed, runs)
+        for name in chosen:
+            if name in WITH_RELAYS and not relays:
+                raise click.UsageError(f"{name} needs --relays")
+            runs.append(play(replace(plan, story=story(name, span))))
+            click.echo(f"{name}: {runs[-1].why or 'held'}", err=True)
+    except NotHeld as exc:
+        _say(runs, disagreements)
+        click.echo(f"size not held: {exc}", err=True)
+        sys.exit(2)
+    _say(runs, disagreements)
+    try:
+        keep(results, [run for run in runs if run.held])
+    except BadRecords as exc:
+        click.echo(str(exc), err=True)
+        sys.exit(2)
+    sys.exit(0 if all(run.held for run in runs) else 2)
+
+
+def _agree(seed: int, runs: list[ScaleRun]) -> int:
+    """Hollow and real at one size; ends with exit code 1 where they disagree."""
+    run = play(twins(seed))
+    runs.append(run)
+    for found in run.disagreements:
+        click.echo(f"{found.figure}: hollow {found.hollow}, real {found.real}, bound {found.bound}", err=True)
+    if run.disagreements:
+        _say(runs, len(run.disagreements))
+        sys.exit(1)
+    return 0
+
+
+def _say(runs: list[ScaleRun], disagreements: int | None) -> None:
+    click.echo(table(HEADS, [row(run) for run in runs]))
+    click.echo(summary(runs, disagreements))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/puffinford/scale/process.py
@@ -0,0 +1,178 @@
+"""A process of many hollow balancers: `python -m puffinford.scale.process`, started by the driver.
+
+The first line of standard input is its `HollowSpec`; further lines are commands. What is to be told goes to
+standard output. It ends with its input.
+"""
+
+from __future__ import annotations
+
+import gc
+import logging
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from dataclasses import replace
+from pathlib import Path
+
+import anyio
+import anyio.abc
+
+from puffinford.codec import decode_settings
+from puffinford.core.clock import Clock
+from puffinford.logs import set_up
+from puffinford.operators import OperatorSettings, load_settings
+from puffinford.scale.channel import lines_from, resident, tell
+from puffinford.scale.hollow import HollowBalancer, HollowTotals
+from puffinford.scale.messages import (
+    Begin,
+    Finish,
+    HollowSpec,
+    HollowTally,
+    InForce,
+    Kill,
+    Started,
+    ToHollow,
+    decode,
+)
+
+TELL_EVERY = 200.0  # ms between batches of versions that came into force
+LATE_EVERY = 100.0  # ms between looks at how late the loop is
+
+log = logging.getLogger(__name__)
+
+
+class HollowProcess:
+    """The balancers of one process, each in a task group of its own that a kill cancels."""
+
+    def __init__(self, spec: HollowSpec, clock: Clock) -> None:
+        self._spec = spec
+        self._clock = clock
+        self._settings = decode_settings(spec.settings)
+        self._operators = _operators(spec.operators)
+        self._totals = HollowTotals()
+        self._running: dict[int, tuple[HollowBalancer, anyio.CancelScope]] = {}
+        self._down: dict[int, float] = {}  # ms that a killed balancer stays down
+        self._in_force: list[tuple[int, int, float]] = []
+        self._started: list[tuple[int, float]] = []
+        self._begun = anyio.Event()
+        self._crowd_at = (0.0, 0.0)
+        self._late: list[float] = []
+        self._before = resident()
+
+    async def run(self, commands: AsyncIterator[bytes]) -> None:
+        """Run the balancers and obey until the end."""
+        async with anyio.create_task_group() as tasks:
+            for number in range(self._spec.count):
+                delay = self._spec.over_ms * number / self._spec.count
+                tasks.start_soon(self._keep, self._spec.first + number, delay)
+            tasks.start_soon(self._tell_all)
+            tasks.start_soon(self._measure_lateness)
+            await self._obey(commands, tasks)
+            tasks.cancel_scope.cancel()
+
+    async def _obey(self, commands: AsyncIterator[bytes], tasks: anyio.abc.TaskGroup) -> None:
+        async for line in commands:
+            command: ToHollow = decode(line, ToHollow)
+            match command:
+                case Begin():
+                    # Guards the loop against long collections over what now stays to the end.
+                    gc.collect()
+                    gc.freeze()
+                    self._late.clear()
+                    self._crowd_at = (command.at, command.end)
+                    self._begun.set()
+                case Kill():
+                    tasks.start_soon(self._kill, command)
+                case Finish():
+                    self._tell_in_force()
+                    tell(self._tally(whole=True))
+                    return
+
+    async def _keep(self, me: int, delay: float) -> None:
+        """One balancer of the fleet, started again after each kill."""
+        await self._clock.sleep(delay)
+        while True:
+            balancer = HollowBalancer(
+                self._spec,
+                me,
+                replace(self._settings, me=me),
+                self._operators,
+                self._clock,
+                self._record,
+                self._totals,
+            )
+            with anyio.CancelScope() as scope:
+                self._running[me] = (balancer, scope)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(balancer.run)
+                    await self._begun.wait()
+                    await balancer.serve_crowd(*self._crowd_at)
+            del self._running[me], balancer
+            await self._clock.sleep(self._down.pop(me, 0.0))
+            self._started.append((me, self._clock.now()))
+
+    async def _kill(self, command: Kill) -> None:
+        await self._clock.sleep(command.at - self._clock.now())
+        for me in command.balancers:
+            running = self._running.get(me)
+            if running is not None:
+                self._down[me] = command.down_ms
+                running[1].cancel()
+
+    def _record(self, me: int, version: int, at: float) -> None:
+        self._in_force.append((me, version, at))
+
+    async def _tell_all(self) -> None:
+        while True:
+            await self._clock.sleep(TELL_EVERY)
+            self._tell_in_force()
+            tell(self._tally())
+
+    def _tell_in_force(self) -> None:
+        if self._started:
+            tell(Started(self._started))
+            self._started = []
+        if self._in_force:
+            tell(InForce(self._in_force))
+            self._in_force = []
+
+    def _tally(self, *, whole: bool = False) -> HollowTally:
+        """The figures of a moment; with all that is large only where it is `whole`."""
+        placed = self._totals.placed if whole else {}
+        return HollowTally(
+            running=len(self._running),
+            informed=sum(balancer.informed for balancer, _ in self._running.values()),
+            placed={me: dict(counts) for me, counts in placed.items()},
+            refused=self._totals.refused,
+            moved=self._totals.moved,
+            cpu_s=time.process_time(),
+            resident=resident(),
+            resident_before=self._before,
+            late_ms=self._late if whole else [],
+        )
+
+    async def _measure_lateness(self) -> None:
+        """Guards a run against a machine that cannot carry it: figures of a loop that is late are its own."""
+        while True:
+            due = self._clock.now() + LATE_EVERY
+            await self._clock.sleep(LATE_EVERY)
+            self._late.append(round(self._clock.now() - due, 1))
+
+
+def _operators(text: str) -> OperatorSettings:
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory, "operators.conf")
+        path.write_text(text)
+        return load_settings(path).settings
+
+
+async def _main() -> None:
+    commands = lines_from(sys.stdin.fileno())
+    spec: HollowSpec = decode(await anext(commands), HollowSpec)
+    await HollowProcess(spec, Clock()).run(commands)
+
+
+if __name__ == "__main__":
+    set_up("ERROR")
+    anyio.run(_main)
--- /dev/null
+++ b/puffinford/scale/records.py
@@ -0,0 +1,108 @@
+"""What a scale run came to, as it is kept and compared. Times in ms unless a name says otherwise."""
+
+from __future__ import annotations
+
+import msgspec
+
+from puffinford.scale.agreement import Disagreement
+from puffinford.scale.told import Told
+
+SCHEMA = 1
+
+
+class BadRecords(Exception):
+    """A results file that cannot be used; the text names place and value."""
+
+
+class ListServiceLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """The list service during the story."""
+
+    calls: int
+    calls_a_second: float
+    calls_peak: int  # in one second
+    sent: int  # bytes of answers, without TCP and IP
+    received: int  # bytes of calls
+    queue_most: int  # calls that waited for their turn together
+    broken: int  # connections that it reset
+    cpu_percent: float  # of a core
+
+
+class BalancerLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Control's cost at one balancer of a kind; calls and bytes are None where relays stand between."""
+
+    calls_a_second: float | None
+    bytes_a_second: float | None  # both ways, without TCP and IP
+    cpu_percent: float  # of a core
+    resident_kib: float  # a hollow one: the growth of its process over its number; a real one: its process
+    placed: int  # connections brought up, over all
+
+
+class RelayLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """One relay during the story; 0 where it was killed."""
+
+    cpu_percent: float
+    resident_mib: float
+    upstream_calls: int
+
+
+class Lateness(msgspec.Struct, frozen=True, kw_only=True):
+    """How late the loops of the hollow processes were; a late loop makes its balancers look late."""
+
+    p99_ms: float
+    most_ms: float
+
+
+class ScaleRun(msgspec.Struct, frozen=True, kw_only=True):
+    """One story at one size."""
+
+    schema: int = SCHEMA
+    story: str
+    distribution: str
+    hollow: int
+    real: int
+    processes: int
+    relays: int
+    servers: int
+    changes: int
+    restarts: int  # hollow balancers that were killed and started again
+    service_ms: float
+    seed: int
+    rate: float  # arrivals a second at each balancer
+    seconds: float
+    machine: str
+    commit: str
+    date: str
+    list_service: ListServiceLoad
+    hollow_told: Told
+    real_told: Told
+    hollow_load: BalancerLoad
+    real_load: BalancerLoad
+    relay_load: list[RelayLoad]
+    lateness: Lateness
+    resident_mib: float  # of all hollow processes
+    held: bool  # the size was held to the end
+    why: str = ""  # where it was not
+    disagreements: list[Disagreement] = []
+
+
+class ScaleRuns(msgspec.Struct, frozen=True, kw_only=True):
+    """A results file."""
+
+    schema: int = SCHEMA
+    runs: list[ScaleRun] = []
+
+
+def read_runs(text: bytes, place: str) -> ScaleRuns:
+    """The runs of a results file; raises BadRecords."""
+    try:
+        runs = msgspec.json.decode(text, type=ScaleRuns)
+    except msgspec.DecodeError as exc:
+        raise BadRecords(f"{place}: {exc}") from None
+    if runs.schema != SCHEMA:
+        raise BadRecords(f"{place}: schema: {runs.schema}, and {SCHEMA} is read")
+    return runs
+
+
+def write_runs(runs: ScaleRuns) -> bytes:
+    """The text of a results file."""
+    return msgspec.json.format(msgspec.json.encode(runs), indent=1) + b"\n"
--- /dev/null
+++ b/puffinford/scale/sides.py
@@ -0,0 +1,114 @@
+"""The two sides of a hollow balancer: no sockets, and the exchange between them is the program's own."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable, Collection
+
+import anyio
+
+from puffinford.core.clock import Clock
+from puffinford.core.values import Busy, ClaimEnded, Ended, Failed, Leg, Machine, Message, Opening, Up
+from puffinford.interface import Result
+from puffinford.scale.arrivals import Outcome
+
+
+class HollowLeg:
+    """A server's connection that says nothing until the client has ended its side."""
+
+    __slots__ = ("_ended",)
+
+    def __init__(self) -> None:
+        self._ended = anyio.Event()
+
+    async def receive(self) -> Message:
+        await self._ended.wait()
+        raise Ended
+
+    async def send(self, message: Message) -> None:
+        """Nothing is answered: clients of a scale run stand in rest."""
+
+    async def end_sending(self) -> None:
+        self._ended.set()
+
+    async def end(self) -> None:
+        self._ended.set()
+
+    async def abort(self) -> None:
+        self._ended.set()
+
+
+class HollowServers:
+    """A server side without sockets: an attempt comes up after a drawn delay, or fails at a dead server."""
+
+    def __init__(
+        self, clock: Clock, rng: random.Random, set_up: tuple[float, float], dead: Collection[str]
+    ) -> None:
+        """`set_up` are the least and the most ms that an attempt takes."""
+        self._clock = clock
+        self._rng = rng
+        self._set_up = set_up
+        self._dead = frozenset(dead)
+
+    async def claim(
+        self,
+        machine: Machine,
+        opening: Opening,
+        wait: float,
+        admit: Callable[[], Awaitable[None]],
+        sent: Callable[[], None],
+    ) -> tuple[Leg, Up]:
+        if machine.server.id in self._dead:
+            raise ClaimEnded(Result.CONNECT_FAILED)
+        await admit()
+        sent()
+        delay = self._rng.uniform(*self._set_up)
+        await self._clock.sleep(min(delay, wait))
+        if delay > wait:
+            raise ClaimEnded(Result.TIMEOUT)
+        return HollowLeg(), Up(f"r-{opening.job}")
+
+    async def probe(self, machine: Machine, wait: float, load: bool) -> tuple[Result, str]:
+        return (Result.CONNECT_FAILED if machine.server.id in self._dead else Result.OK), ""
+
+
+class HollowClient:
+    """A client that arrives as the exchange's own event, stays for its life and sends nothing."""
+
+    __slots__ = ("_clock", "_life", "_up", "outcome")
+
+    def __init__(self, clock: Clock, life: float) -> None:
+        self.outcome = Outcome.BROKEN
+        self._clock = clock
+        self._life = life
+        self._up = anyio.Event()
+
+    async def receive(self) -> Message:
+        await self._up.wait()
+        await self._clock.sleep(self._life)
+        self.outcome = Outcome.DONE
+        raise Ended
+
+    async def send(self, message: Message) -> None:
+        """Nothing is answered."""
+
+    async def left(self) -> bool:
+        return False
+
+    async def answer(self, answer: Up | Busy | Failed) -> None:
+        if isinstance(answer, Up):
+            self._up.set()
+        else:
+            self.outcome = Outcome.REFUSED
+
+    async def move(self) -> None:
+        self.outcome = Outcome.MOVED
+
+    async def end_sending(self) -> None:
+        """There is no connection."""
+
+    async def end(self) -> None:
+        """There is no connection."""
+
+    async def abort(self) -> None:
+        """There is no connection."""
--- a/puffinford/standins/discovery.py
+++ b/puffinford/standins/discovery.py
@@ -20,7 +20,7 @@
 LATE = 3_000.0  # ms that a late answer takes
 TWISTS = ("plain", "reversed", "short", "late")  # how one balancer's answers differ; `late` has ms behind it
 SHORT = 2 / 3  # the part of the entries that a short list still names
-_CALL = re.compile(rb"GET /v1/servers(?:\?index=(-?\d+)&wait=(\d+))? HTTP/1\.1\r\n")
+CALL = re.compile(rb"GET /v1/servers(?:\?index=(-?\d+)&wait=(\d+))? HTTP/1\.1\r\n")
 _GARBAGE = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnot a list"[:-1],
     b"\x00\xff\x17 nothing\r\n\r\n",
@@ -143,7 +143,7 @@
         while b"\r\n\r\n" not in head:
             head += await stream.receive()
         self.calls += 1
-        found = _CALL.match(head)
+        found = CALL.match(head)
         index = int(found[1]) if found and found[1] else None
         wait = float(found[2]) if found and found[2] else 0.0
         if self.mode in ("sound", "late") and index is not None:
--- /dev/null
+++ b/puffinford/standins/lists.py
@@ -0,0 +1,210 @@
+"""A lean list service for many thousands of watchers: the protocol of `discovery`, on bare asyncio.
+
+Calls are answered one at a time, each taking `service_ms`, as a list service does that has one worker. A
+call whose connection has ended before its turn costs it nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from puffinford.standins.discovery import CALL, Registry
+from puffinford.standins.listeners import HOST
+
+BACKLOG = 4_096
+HEAD_MOST = 8_192  # bytes; a longer head is no call
+
+
+@dataclass
+class CallCounts:
+    """What has come to one port, and gone out; bytes without those of TCP and IP."""
+
+    calls: int = 0
+    received: int = 0
+    sent: int = 0
+
+
+@dataclass
+class ListService:
+    """The list, its watches and the queue of calls. `open` gives a port to each group of callers."""
+
+    service_ms: float = 0.0
+    registry: Registry = field(default_factory=Registry)
+    counts: dict[str, CallCounts] = field(default_factory=dict)
+    calls_by_second: Counter[int] = field(default_factory=Counter)
+    queue_most: int = 0
+    broken: int = 0  # connections that were reset
+    silent: set[str] = field(default_factory=set)  # groups whose calls are taken and never answered
+
+    def __post_init__(self) -> None:
+        self._bodies: dict[int | None, bytes] = {}  # answers at the present version, by index
+        self._watches: dict[Call, None] = {}  # the oldest first
+        self._queue: deque[Call] = deque()
+        self._free_at = 0.0  # when the call that is being answered is done, on the loop's time
+        self._open: set[Call] = set()
+        self._servers: list[asyncio.Server] = []
+        self._ports: dict[str, int] = {}
+
+    async def open(self, groups: list[str]) -> dict[str, str]:
+        """Listen for each group at a port of its own; the addresses, which stay the same over outages."""
+        for group in groups:
+            counts = self.counts.setdefault(group, CallCounts())
+            listener = socket.socket()
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind((HOST, self._ports.get(group, 0)))
+            self._ports[group] = listener.getsockname()[1]
+            loop = asyncio.get_running_loop()
+            server = await loop.create_server(self._protocol(group, counts), sock=listener, backlog=BACKLOG)
+            self._servers.append(server)
+        return {group: f"{HOST}:{port}" for group, port in self._ports.items()}
+
+    def _protocol(self, group: str, counts: CallCounts) -> Callable[[], asyncio.Protocol]:
+        return lambda: Call(self, group, counts)
+
+    def close(self) -> None:
+        """Refuse connections, and break those that are there."""
+        for server in self._servers:
+            server.close()
+        self._servers.clear()
+        self.break_all()
+
+    def break_all(self) -> None:
+        """End every connection with RST, as a process that dies does."""
+        self.broken += len(self._open)
+        for call in list(self._open):
+            call.abort()
+
+    def put(self, ident: str, **more: object) -> int:
+        """Change an entry, and answer the watches; the new version."""
+        self.registry.put(ident, **more)
+        self._bodies.clear()
+        waiting, self._watches = self._watches, {}
+        for call in waiting:
+            call.stop_waiting()
+            self._enqueue(call)
+        return self.registry.version
+
+    def opened(self, call: Call) -> None:
+        """A connection is there."""
+        self._open.add(call)
+
+    def called(self, call: Call) -> None:
+        """A whole call has come."""
+        self.calls_by_second[int(time.time())] += 1
+        index = call.index
+        if index is not None and index == self.registry.version and call.wait > 0.0:
+            self._watches[call] = None
+            call.start_waiting(lambda: self._waited(call))
+        else:
+            self._enqueue(call)
+
+    def _waited(self, call: Call) -> None:
+        if call in self._watches:
+            del self._watches[call]
+            self._enqueue(call)
+
+    def closed(self, call: Call) -> None:
+        """A connection has ended, by whomever."""
+        self._open.discard(call)
+        self._watches.pop(call, None)
+
+    def _enqueue(self, call: Call) -> None:
+        if call.group in self.silent:
+            return
+        if self.service_ms <= 0.0:
+            call.answer(self._body(call.index))
+            return
+        self._queue.append(call)
+        self.queue_most = max(self.queue_most, len(self._queue))
+        if len(self._queue) == 1:
+            self._serve_next()
+
+    def _serve_next(self) -> None:
+        """Begin with the first call of the queue that is still there."""
+        while self._queue and self._queue[0] not in self._open:
+            self._queue.popleft()
+        if self._queue:
+            loop = asyncio.get_running_loop()
+            # Guards the rate against timers that are late: each call begins when the one before was due.
+            self._free_at = max(self._free_at, loop.time()) + self.service_ms / 1_000.0
+            loop.call_at(self._free_at, self._served)
+
+    def _served(self) -> None:
+        call = self._queue.popleft()
+        if call in self._open:
+            call.answer(self._body(call.index))
+        self._serve_next()
+
+    def _body(self, index: int | None) -> bytes:
+        body = self._bodies.get(index)
+        if body is None:
+            text = json.dumps(self.registry.answer(index)).encode()
+            body = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text)
+            self._bodies[index] = body
+        return body
+
+
+class Call(asyncio.Protocol):
+    """One connection with its one call."""
+
+    __slots__ = ("_counts", "_head", "_service", "_timer", "_transport", "group", "index", "wait")
+
+    def __init__(self, service: ListService, group: str, counts: CallCounts) -> None:
+        self.group = group
+        self.index: int | None = None
+        self.wait = 0.0  # ms
+        self._service = service
+        self._counts = counts
+        self._head = b""
+        self._timer: asyncio.TimerHandle | None = None
+        self._transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._service.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        self._counts.received += len(data)
+        self._head += data
+        if len(self._head) > HEAD_MOST:
+            self._transport.abort()
+        elif self._head.endswith(b"\r\n\r\n"):
+            self._counts.calls += 1
+            found = CALL.match(self._head)
+            if found is not None and found[1]:
+                self.index, self.wait = int(found[1]), float(found[2])
+            self._service.called(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.stop_waiting()
+        self._service.closed(self)
+
+    def start_waiting(self, late: Callable[[], None]) -> None:
+        """A watch without news is answered after its wait."""
+        self._timer = asyncio.get_running_loop().call_later(self.wait / 1_000.0, late)
+
+    def stop_waiting(self) -> None:
+        """There is news, or the connection has ended."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def answer(self, body: bytes) -> None:
+        """Write the answer, and end the connection in order."""
+        self._counts.sent += len(body)
+        self._transport.write(body)
+        self._transport.close()
+
+    def abort(self) -> None:
+        """Break the connection."""
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        self._transport.abort()
