Split the driver of scale runs: plan, what was told, and the record each have a module

Cause: run.py held the size, the gathering and the record beside the driving.

Change: plan, seen and assemble; starts wait for first lists (32 at once a process) in place of a fixed pace, and a process that stood still counts as a size that was not held.

--- a/benchmarks/scale/runs.py
+++ b/benchmarks/scale/runs.py
@@ -17,8 +17,9 @@
 import click
 
 from puffinford.scale.messages import Crowd, Skip
+from puffinford.scale.plan import RunPlan
 from puffinford.scale.records import BadRecords, ScaleRun, ScaleRuns, read_runs, write_runs
-from puffinford.scale.run import NotHeld, Run, RunPlan
+from puffinford.scale.run import NotHeld, Run
 from puffinford.scale.stories import DIRECT, FULL, STORIES, WITH_RELAYS, story
 from puffinford.tables import table
 
--- /dev/null
+++ b/puffinford/scale/assemble.py
@@ -0,0 +1,219 @@
+"""From what the processes of a run have told to its record."""
+
+from __future__ import annotations
+
+import os
+import platform
+import subprocess
+import time
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from puffinford.scale.agreement import Disagreement, Observed, disagreements
+from puffinford.scale.distribution import Distribution
+from puffinford.scale.messages import GroupTally
+from puffinford.scale.plan import RunPlan
+from puffinford.scale.real import RealBalancers
+from puffinford.scale.records import BalancerLoad, Lateness, ListServiceLoad, RelayLoad, ScaleRun
+from puffinford.scale.seen import Costs, Seen
+from puffinford.scale.told import Span, Told, quantile, time_until_told
+
+REAL_GROUP = "real"
+HOLLOW_GROUP = "hollow-"  # and the number of the process
+LOOKS_LEAST = 2.0  # of lateness, a second and process; ten are due
+
+
+@dataclass(frozen=True)
+class KindSeen:
+    """What the balancers of one kind came to during the story."""
+
+    count: int
+    groups: Sequence[GroupTally]
+    told: Told
+    placed: Mapping[int, Counter[str]]
+    cpu: float  # seconds of all together
+    resident: int  # bytes of all together
+
+    def load(self, seconds: float, relays: int) -> BalancerLoad:
+        """Means a balancer."""
+        each = max(1, self.count) * seconds
+        calls = sum(tally.calls for tally in self.groups)
+        size = sum(tally.sent + tally.received for tally in self.groups)
+        return BalancerLoad(
+            calls_a_second=None if relays else round(calls / each, 4),
+            bytes_a_second=None if relays else round(size / each, 1),
+            cpu_percent=round(100.0 * self.cpu / each, 4),
+            resident_kib=round(self.resident / max(1, self.count) / 1_024.0, 1),
+            placed=sum(counts.total() for counts in self.placed.values()),
+        )
+
+    def observed(self) -> Observed:
+        """What the agreement goes by."""
+        count = max(1, self.count)
+        calls = sum(tally.calls for tally in self.groups) / count
+        sent = sum(tally.sent for tally in self.groups) / count
+        return Observed(calls, sent, self.told, self.placed)
+
+
+def assemble(
+    plan: RunPlan,
+    seen: Seen,
+    begin: float,
+    before: Costs,
+    after: Costs,
+    real: RealBalancers | None,
+    distribution: Distribution,
+) -> ScaleRun:
+    """The record of a run whose story began at `begin`, in Unix ms."""
+    seconds = (after.at - before.at) / 1_000.0
+    tallies = {group: _less(after.groups[group], before.groups[group]) for group in after.groups}
+    ours = _hollow(plan, seen, _outages(plan, begin), tallies, after.hollow_cpu - before.hollow_cpu)
+    theirs = _real(seen, _outages(plan, begin), tallies, after.real_cpu - before.real_cpu, real)
+    lateness = _lateness(seen)
+    why = _not_held(plan, seen, seconds, lateness, real)
+    return ScaleRun(
+        story=plan.story.name,
+        distribution=distribution.name,
+        hollow=plan.hollow,
+        real=plan.real,
+        processes=plan.processes,
+        relays=plan.relays,
+        servers=plan.servers,
+        changes=len(seen.changed),
+        restarts=sum(len(starts) for starts in seen.started.values()),
+        service_ms=plan.service_ms,
+        seed=plan.seed,
+        rate=plan.crowd.rate,
+        seconds=round(seconds, 1),
+        machine=f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}",
+        commit=_commit(),
+        date=time.strftime("%Y-%m-%d"),
+        list_service=_list_load(seen, tallies, before, after),
+        hollow_told=ours.told,
+        real_told=theirs.told,
+        hollow_load=ours.load(seconds, plan.relays),
+        real_load=theirs.load(seconds, plan.relays),
+        relay_load=_relay_load(distribution, tallies, before, after),
+        lateness=lateness,
+        resident_mib=round(sum(tally.resident for tally in seen.hollow.values()) / (1 << 20), 1),
+        held=not why,
+        why=why,
+        disagreements=_disagreements(plan, ours, theirs),
+    )
+
+
+def _disagreements(plan: RunPlan, ours: KindSeen, theirs: KindSeen) -> list[Disagreement]:
+    if not plan.twins:
+        return []
+    return disagreements(ours.observed(), theirs.observed(), plan.bounds)
+
+
+def _hollow(
+    plan: RunPlan, seen: Seen, outages: Sequence[Span], tallies: Mapping[str, GroupTally], cpu: float
+) -> KindSeen:
+    taken = {me: seen.taken.get(me, []) for me in range(plan.hollow)}
+    placed = {me: Counter(counts) for tally in seen.hollow.values() for me, counts in tally.placed.items()}
+    return KindSeen(
+        plan.hollow,
+        [tally for group, tally in tallies.items() if group.startswith(HOLLOW_GROUP)],
+        time_until_told(seen.changed, taken, seen.started, outages),
+        placed,
+        cpu,
+        sum(tally.resident - tally.resident_before for tally in seen.hollow.values()),
+    )
+
+
+def _real(
+    seen: Seen,
+    outages: Sequence[Span],
+    tallies: Mapping[str, GroupTally],
+    cpu: float,
+    real: RealBalancers | None,
+) -> KindSeen:
+    if real is None:
+        return KindSeen(0, [], Told(), {}, 0.0, 0)
+    logs = {me: real.logged(me) for me in real.balancers}
+    taken = {me: logged.taken for me, logged in logs.items()}
+    return KindSeen(
+        len(logs),
+        [tallies[REAL_GROUP]],
+        time_until_told(seen.changed, taken, {}, outages),  # no story ends a real balancer
+        {me: logged.placed for me, logged in logs.items()},
+        cpu,
+        real.resident(),
+    )
+
+
+def _outages(plan: RunPlan, begin: float) -> list[Span]:
+    outage = plan.story.outage
+    if outage is None:
+        return []
+    began = begin + outage.at * 1_000.0
+    return [Span(began, began + outage.lasts * 1_000.0)]
+
+
+def _lateness(seen: Seen) -> Lateness:
+    late = sorted(ms for tally in seen.hollow.values() for ms in tally.late_ms)
+    return Lateness(p99_ms=quantile(late, 0.99), most_ms=late[-1] if late else 0.0)
+
+
+def _not_held(
+    plan: RunPlan, seen: Seen, seconds: float, lateness: Lateness, real: RealBalancers | None
+) -> str:
+    """Why the size was not held; nothing where it was."""
+    running = sum(tally.running for tally in seen.hollow.values())
+    if running != plan.hollow:
+        return f"{running} of {plan.hollow} hollow balancers are running"
+    if real is not None and real.running != plan.real:
+        return f"{real.running} of {plan.real} real balancers are running"
+    if lateness.p99_ms > plan.late_most:
+        return f"hollow loops were late by {lateness.p99_ms:.0f} ms at 99 in 100, over {plan.late_most:.0f}"
+    stalled = sum(len(tally.late_ms) < LOOKS_LEAST * seconds for tally in seen.hollow.values())
+    if stalled and plan.late_most < float("inf"):
+        return f"{stalled} of {plan.processes} hollow processes stood still"
+    return ""
+
+
+def _list_load(seen: Seen, tallies: Mapping[str, GroupTally], before: Costs, after: Costs) -> ListServiceLoad:
+    lists = seen.lists
+    assert lists is not None
+    seconds = (after.at - before.at) / 1_000.0
+    calls = sum(tally.calls for tally in tallies.values())
+    first, last = int(before.at / 1_000.0), int(after.at / 1_000.0)
+    peak = max((n for second, n in lists.calls_by_second.items() if first < second <= last), default=0)
+    return ListServiceLoad(
+        calls=calls,
+        calls_a_second=round(calls / seconds, 1),
+        calls_peak=peak,
+        sent=sum(tally.sent for tally in tallies.values()),
+        received=sum(tally.received for tally in tallies.values()),
+        queue_most=lists.queue_most,
+        broken=lists.broken,
+        cpu_percent=round(100.0 * (after.lists_cpu - before.lists_cpu) / seconds, 2),
+    )
+
+
+def _relay_load(
+    distribution: Distribution, tallies: Mapping[str, GroupTally], before: Costs, after: Costs
+) -> list[RelayLoad]:
+    seconds = (after.at - before.at) / 1_000.0
+    costs = zip(before.relay_cpu, after.relay_cpu, strict=True)
+    return [
+        RelayLoad(
+            cpu_percent=round(max(0.0, 100.0 * (then - first) / seconds), 2),
+            resident_mib=round(relay.resident() / (1 << 20), 1),
+            upstream_calls=tallies[group].calls,
+        )
+        for relay, group, (first, then) in zip(distribution.relays, distribution.groups, costs, strict=True)
+    ]
+
+
+def _less(after: GroupTally, before: GroupTally) -> GroupTally:
+    return GroupTally(after.calls - before.calls, after.received - before.received, after.sent - before.sent)
+
+
+def _commit() -> str:
+    words = ["git", "describe", "--always", "--dirty", "--abbrev=7"]
+    found = subprocess.run(words, capture_output=True, text=True, check=False)
+    return found.stdout.strip() or "unknown"
--- a/puffinford/scale/hollow.py
+++ b/puffinford/scale/hollow.py
@@ -40,7 +40,7 @@
         self._record = record
         self._skip = skip is Skip.LISTS
         self._lists = 0
-        self.informed = False
+        self.informed = anyio.Event()  # a list is in force
 
     def take_list(self, machines: MachineList | None) -> None:
         """Pass on a list, or the failure of a call (None)."""
@@ -50,7 +50,7 @@
                 return
         self._exchange.take_list(machines)
         if machines is not None:
-            self.informed = True
+            self.informed.set()
             self._record(self._me, machines.version, self._clock.now())
 
 
@@ -112,8 +112,8 @@
         self._list.watch(discovery, unprompted=not settings.list_on_request, seed=seed)
 
     @property
-    def informed(self) -> bool:
-        """Whether a list is in force."""
+    def informed(self) -> anyio.Event:
+        """Set once a list is in force."""
         return self._recorder.informed
 
     async def run(self) -> None:
--- a/puffinford/scale/messages.py
+++ b/puffinford/scale/messages.py
@@ -45,7 +45,7 @@
     set_up_ms: tuple[float, float] = (0.0, 0.0)  # what an attempt takes at a server: drawn between these
     dead: list[str] = []  # servers that take no connection
     skip: Skip = Skip.NOTHING
-    over_ms: float = 1_000.0  # starts are spread over this long
+    starting_most: int = 32  # balancers that wait for their first list together, until all have begun
 
 
 class ListServiceSpec(msgspec.Struct, frozen=True, kw_only=True):
--- a/puffinford/scale/process.py
+++ b/puffinford/scale/process.py
@@ -56,6 +56,7 @@
         self._in_force: list[tuple[int, int, float]] = []
         self._started: list[tuple[int, float]] = []
         self._begun = anyio.Event()
+        self._starting = anyio.Semaphore(spec.starting_most)
         self._crowd_at = (0.0, 0.0)
         self._late: list[float] = []
         self._before = resident()
@@ -63,9 +64,7 @@
     async def run(self, commands: AsyncIterator[bytes]) -> None:
         """Run the balancers and obey until the end."""
         async with anyio.create_task_group() as tasks:
-            for number in range(self._spec.count):
-                delay = self._spec.over_ms * number / self._spec.count
-                tasks.start_soon(self._keep, self._spec.first + number, delay)
+            tasks.start_soon(self._start_all, tasks)
             tasks.start_soon(self._tell_all)
             tasks.start_soon(self._measure_lateness)
             await self._obey(commands, tasks)
@@ -89,9 +88,19 @@
                     tell(self._tally(whole=True))
                     return
 
-    async def _keep(self, me: int, delay: float) -> None:
+    async def _start_all(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start balancers as fast as they get their first lists.
+
+        Guards the start against itself: with all at once the loop is late, calls beside late ones are made,
+        and their answers make it later still.
+        """
+        for number in range(self._spec.count):
+            await self._starting.acquire()
+            tasks.start_soon(self._keep, self._spec.first + number)
+
+    async def _keep(self, me: int) -> None:
         """One balancer of the fleet, started again after each kill."""
-        await self._clock.sleep(delay)
+        first = True
         while True:
             balancer = HollowBalancer(
                 self._spec,
@@ -106,6 +115,10 @@
                 self._running[me] = (balancer, scope)
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(balancer.run)
+                    if first:
+                        await balancer.informed.wait()
+                        self._starting.release()
+                        first = False
                     await self._begun.wait()
                     await balancer.serve_crowd(*self._crowd_at)
             del self._running[me], balancer
@@ -142,7 +155,7 @@
         placed = self._totals.placed if whole else {}
         return HollowTally(
             running=len(self._running),
-            informed=sum(balancer.informed for balancer, _ in self._running.values()),
+            informed=sum(balancer.informed.is_set() for balancer, _ in self._running.values()),
             placed={me: dict(counts) for me, counts in placed.items()},
             refused=self._totals.refused,
             moved=self._totals.moved,
--- a/puffinford/scale/run.py
+++ b/puffinford/scale/run.py
@@ -2,15 +2,9 @@
 
 from __future__ import annotations
 
-import os
-import platform
 import resource
 import signal
-import subprocess
 import time
-from collections import Counter
-from collections.abc import Mapping
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -19,133 +13,45 @@
 from anyio import to_thread
 
 from puffinford.core.clock import Clock
-from puffinford.scale.agreement import Bounds, Observed, disagreements
+from puffinford.scale.assemble import HOLLOW_GROUP, REAL_GROUP, assemble
 from puffinford.scale.channel import cpu_seconds
 from puffinford.scale.children import Child, ChildFailed
 from puffinford.scale.distribution import Distribution, NotDistributed, distribution
 from puffinford.scale.messages import (
     Begin,
-    Changed,
-    Crowd,
     Cut,
     Finish,
     FromHollow,
     FromListService,
-    GroupTally,
     HollowSpec,
-    HollowTally,
-    InForce,
     Kill,
-    Listening,
     ListServiceSpec,
-    ListTally,
     Outage,
     Plan,
     ResetWatches,
-    Skip,
-    Started,
 )
+from puffinford.scale.plan import RunPlan
 from puffinford.scale.real import RealBalancers, RealSpec, ServerPool
-from puffinford.scale.records import BalancerLoad, Lateness, ListServiceLoad, RelayLoad, ScaleRun
+from puffinford.scale.records import ScaleRun
+from puffinford.scale.seen import Costs, Seen
 from puffinford.scale.stories import RelayFault, Story, changes, third
-from puffinford.scale.told import InForceRow, Span, Told, quantile, time_until_told
 from puffinford.standins.balancer import facts
 from puffinford.standins.clients import Kind
 
-REAL_GROUP = "real"
 READY_LEAST_S = 20.0  # for all to have a list ...
-READY_EACH_S = 0.02  # ... and so much for each balancer
+READY_EACH_S = 0.05  # ... and so much for each balancer
 LEAD_MS = 500.0  # between the commands and the story's first moment
 SETTLE_MOST_S = 15.0  # after the story, for the last change to be in force everywhere
 SETTLE_MOST_DOWN_S = 5.0  # more of it where the source was out
 LOOK_S = 0.05
-LATE_MOST = 250.0  # ms
+SET_UP_MS = (2.5, 7.5)  # what an attempt takes at a hollow server: as at the stand-in servers
 DESCRIPTORS_SPARE = 512
 
 
-@dataclass(frozen=True, kw_only=True)
-class RunPlan:
-    """The size of a run and what is played."""
-
-    story: Story
-    hollow: int
-    processes: int
-    real: int = 0
-    relays: int = 0
-    servers: int = 100
-    service_ms: float = 0.0
-    seed: int = 1
-    crowd: Crowd = field(default_factory=lambda: Crowd(rate=0.05))
-    twins: bool = False  # real balancers have the numbers of the first hollow ones: for the agreement
-    skip: Skip = Skip.NOTHING
-    late_most: float = LATE_MOST  # ms by which 99 in 100 looks of the hollow loops may be late
-    bounds: Bounds = field(default_factory=Bounds)  # of the agreement
-
-    @property
-    def balancers(self) -> int:
-        """Balancers that settings tell of."""
-        return self.hollow if self.twins else self.hollow + self.real
-
-    @property
-    def first_real(self) -> int:
-        """The number of the first real balancer."""
-        return 0 if self.twins else self.hollow
-
-
 class NotHeld(Exception):
     """The run could not hold its size; the text says why."""
 
 
-@dataclass
-class Seen:
-    """What the processes have told."""
-
-    taken: dict[int, list[InForceRow]] = field(default_factory=dict)
-    started: dict[int, list[float]] = field(default_factory=dict)
-    changed: list[InForceRow] = field(default_factory=list)
-    hollow: dict[int, HollowTally] = field(default_factory=dict)  # by process
-    lists: ListTally | None = None
-    addresses: dict[str, str] = field(default_factory=dict)
-
-    def hear_hollow(self, process: int, message: FromHollow) -> None:
-        """A message of one hollow process."""
-        match message:
-            case InForce():
-                for me, version, at in message.rows:
-                    self.taken.setdefault(me, []).append(InForceRow(version, at))
-            case Started():
-                for me, at in message.rows:
-                    self.started.setdefault(me, []).append(at)
-            case HollowTally():
-                self.hollow[process] = message
-
-    def hear_lists(self, message: FromListService) -> None:
-        """A message of the list service."""
-        match message:
-            case Listening():
-                self.addresses = message.addresses
-            case Changed():
-                self.changed.append(InForceRow(message.version, message.at))
-            case ListTally():
-                self.lists = message
-
-    def informed(self) -> int:
-        """Hollow balancers that have a list."""
-        return sum(tally.informed for tally in self.hollow.values())
-
-
-@dataclass(frozen=True)
-class Costs:
-    """Counts of a moment; the story's are the difference of two."""
-
-    at: float  # Unix ms
-    hollow_cpu: float  # seconds, all processes
-    real_cpu: float
-    lists_cpu: float
-    relay_cpu: tuple[float, ...]
-    groups: Mapping[str, GroupTally]
-
-
 class Run:
     """One run. `play` may be called once."""
 
@@ -196,12 +102,12 @@
         await self._settle()
         after = self._costs()
         await self._finish()
-        return self._record(before, after)
+        return assemble(self._plan, self._seen, self._begin, before, after, self._real, self._distribution)
 
     # The start
 
     def _groups(self) -> list[str]:
-        hollow = [f"hollow-{number}" for number in range(self._plan.processes)]
+        hollow = [f"{HOLLOW_GROUP}{number}" for number in range(self._plan.processes)]
         return [REAL_GROUP, *hollow, *self._distribution.groups]
 
     async def _start_lists(self, pool: ServerPool, tasks: anyio.abc.TaskGroup) -> None:
@@ -231,12 +137,11 @@
                 count=count,
                 seed=plan.seed,
                 settings=self._settings(),
-                discovery=[self._seen.addresses[f"hollow-{number}"]] * count,
+                discovery=[self._seen.addresses[f"{HOLLOW_GROUP}{number}"]] * count,
                 operators=self._distribution.operators(),
                 crowd=plan.crowd,
-                set_up_ms=(2.5, 7.5),
+                set_up_ms=SET_UP_MS,
                 skip=plan.skip,
-                over_ms=max(500.0, 5.0 * plan.hollow),
             )
             self._hollow.append(self._hollow_child(number, spec))
             tasks.start_soon(self._hollow[-1].run)
@@ -362,146 +267,6 @@
         for child in [*self._hollow, self._lists]:
             await child.finish(Finish())
 
-    def _held(self) -> str:
-        """Why the size was not held; nothing where it was."""
-        running = sum(tally.running for tally in self._seen.hollow.values())
-        if running != self._plan.hollow:
-            return f"{running} of {self._plan.hollow} hollow balancers are running"
-        if self._real is not None and self._real.running != self._plan.real:
-            return f"{self._real.running} of {self._plan.real} real balancers are running"
-        late = self._lateness()
-        most = self._plan.late_most
-        if late.p99_ms > most:
-            return f"the hollow loops were late by {late.p99_ms:.0f} ms at 99 in 100, over {most:.0f}"
-        return ""
-
-    def _lateness(self) -> Lateness:
-        late = sorted(ms for tally in self._seen.hollow.values() for ms in tally.late_ms)
-        return Lateness(p99_ms=quantile(late, 0.99), most_ms=late[-1] if late else 0.0)
-
-    def _told(self, taken: Mapping[int, list[InForceRow]], me: range) -> Told:
-        story = self._plan.story
-        outages = []
-        if story.outage is not None:
-            began = self._begin + story.outage.at * 1_000.0
-            outages.append(Span(began, began + story.outage.lasts * 1_000.0))
-        known = {number: taken.get(number, []) for number in me}
-        return time_until_told(self._seen.changed, known, self._seen.started, outages)
-
-    def _hollow_told(self) -> Told:
-        return self._told(self._seen.taken, range(self._plan.hollow))
-
-    def _real_told_all(self) -> Told:
-        if self._real is None:
-            return Told()
-        numbers = self._real.balancers
-        taken = {me: self._real.logged(me).taken for me in numbers}
-        # Real balancers are not killed: the starts of hollow twins are not theirs.
-        return time_until_told(self._seen.changed, taken, {}, ())
-
-    def _placed_hollow(self) -> dict[int, Counter[str]]:
-        return {
-            me: Counter(counts) for tally in self._seen.hollow.values() for me, counts in tally.placed.items()
-        }
-
-    def _placed_real(self) -> dict[int, Counter[str]]:
-        if self._real is None:
-            return {}
-        return {me: self._real.logged(me).placed for me in self._real.balancers}
-
-    def _record(self, before: Costs, after: Costs) -> ScaleRun:
-        plan, seconds = self._plan, (after.at - before.at) / 1_000.0
-        gone = {group: _less(after.groups[group], before.groups[group]) for group in after.groups}
-        hollow = [gone[group] for group in gone if group.startswith("hollow-")]
-        real = [gone[REAL_GROUP]]
-        resident = sum(tally.resident for tally in self._seen.hollow.values())
-        grown = resident - sum(tally.resident_before for tally in self._seen.hollow.values())
-        placed_hollow, placed_real = self._placed_hollow(), self._placed_real()
-        hollow_load = _load(
-            hollow, plan.hollow, seconds, after.hollow_cpu - before.hollow_cpu, grown, plan.relays
-        )
-        real_load = _load(
-            real,
-            plan.real,
-            seconds,
-            after.real_cpu - before.real_cpu,
-            self._real.resident() if self._real is not None else 0,
-            plan.relays,
-        )
-        why = self._held()
-        hollow_told, real_told = self._hollow_told(), self._real_told_all()
-        found = []
-        if plan.twins:
-            found = disagreements(
-                _observed(hollow, plan.hollow, hollow_told, placed_hollow),
-                _observed(real, plan.real, real_told, placed_real),
-                plan.bounds,
-            )
-        return ScaleRun(
-            story=plan.story.name,
-            distribution=self._distribution.name,
-            hollow=plan.hollow,
-            real=plan.real,
-            processes=plan.processes,
-            relays=plan.relays,
-            servers=plan.servers,
-            changes=len(self._seen.changed),
-            restarts=sum(len(starts) for starts in self._seen.started.values()),
-            service_ms=plan.service_ms,
-            seed=plan.seed,
-            rate=plan.crowd.rate,
-            seconds=round(seconds, 1),
-            machine=_machine(),
-            commit=_commit(),
-            date=time.strftime("%Y-%m-%d"),
-            list_service=self._list_load(gone, before, after),
-            hollow_told=hollow_told,
-            real_told=real_told,
-            hollow_load=_with_placed(hollow_load, placed_hollow),
-            real_load=_with_placed(real_load, placed_real),
-            relay_load=self._relay_load(gone, before, after),
-            lateness=self._lateness(),
-            resident_mib=round(resident / (1 << 20), 1),
-            held=not why,
-            why=why,
-            disagreements=found,
-        )
-
-    def _list_load(self, gone: Mapping[str, GroupTally], before: Costs, after: Costs) -> ListServiceLoad:
-        lists = self._seen.lists
-        assert lists is not None
-        seconds = (after.at - before.at) / 1_000.0
-        calls = sum(tally.calls for tally in gone.values())
-        first, last = int(before.at / 1_000.0), int(after.at / 1_000.0)
-        peak = max((n for second, n in lists.calls_by_second.items() if first < second <= last), default=0)
-        return ListServiceLoad(
-            calls=calls,
-            calls_a_second=round(calls / seconds, 1),
-            calls_peak=peak,
-            sent=sum(tally.sent for tally in gone.values()),
-            received=sum(tally.received for tally in gone.values()),
-            queue_most=lists.queue_most,
-            broken=lists.broken,
-            cpu_percent=round(100.0 * (after.lists_cpu - before.lists_cpu) / seconds, 2),
-        )
-
-    def _relay_load(self, gone: Mapping[str, GroupTally], before: Costs, after: Costs) -> list[RelayLoad]:
-        seconds = (after.at - before.at) / 1_000.0
-        return [
-            RelayLoad(
-                cpu_percent=round(max(0.0, 100.0 * (ours - theirs) / seconds), 2),
-                resident_mib=round(relay.resident() / (1 << 20), 1),
-                upstream_calls=gone[group].calls,
-            )
-            for relay, group, theirs, ours in zip(
-                self._distribution.relays,
-                self._distribution.groups,
-                before.relay_cpu,
-                after.relay_cpu,
-                strict=True,
-            )
-        ]
-
 
 def _leaves(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
     found: list[BaseException] = []
@@ -516,51 +281,3 @@
     wanted = plan.hollow + plan.real + DESCRIPTORS_SPARE
     if allowed != resource.RLIM_INFINITY and allowed < wanted:
         raise NotHeld(f"{wanted} descriptors are needed at the list service, and {allowed} are allowed")
-
-
-def _less(after: GroupTally, before: GroupTally) -> GroupTally:
-    return GroupTally(after.calls - before.calls, after.received - before.received, after.sent - before.sent)
-
-
-def _load(
-    groups: list[GroupTally], count: int, seconds: float, cpu: float, resident: int, relays: int
-) -> BalancerLoad:
-    """Means a balancer of `count`."""
-    each = max(1, count) * seconds
-    calls = sum(tally.calls for tally in groups)
-    size = sum(tally.sent + tally.received for tally in groups)
-    return BalancerLoad(
-        calls_a_second=None if relays else round(calls / each, 4),
-        bytes_a_second=None if relays else round(size / each, 1),
-        cpu_percent=round(100.0 * cpu / each, 4),
-        resident_kib=round(resident / max(1, count) / 1_024.0, 1),
-        placed=0,
-    )
-
-
-def _with_placed(load: BalancerLoad, placed: Mapping[int, Counter[str]]) -> BalancerLoad:
-    return BalancerLoad(
-        calls_a_second=load.calls_a_second,
-        bytes_a_second=load.bytes_a_second,
-        cpu_percent=load.cpu_percent,
-        resident_kib=load.resident_kib,
-        placed=sum(counts.total() for counts in placed.values()),
-    )
-
-
-def _observed(
-    groups: list[GroupTally], count: int, told: Told, placed: Mapping[int, Mapping[str, int]]
-) -> Observed:
-    calls = sum(tally.calls for tally in groups) / max(1, count)
-    sent = sum(tally.sent for tally in groups) / max(1, count)
-    return Observed(calls, sent, told, placed)
-
-
-def _machine() -> str:
-    return f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}"
-
-
-def _commit() -> str:
-    words = ["git", "describe", "--always", "--dirty", "--abbrev=7"]
-    found = subprocess.run(words, capture_output=True, text=True, check=False)
-    return found.stdout.strip() or "unknown"
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -21,8 +21,9 @@
 from puffinford.scale.agreement import Bounds, Observed, disagreements
 from puffinford.scale.arrivals import arrivals
 from puffinford.scale.messages import Crowd, Skip
+from puffinford.scale.plan import RunPlan
 from puffinford.scale.records import BadRecords, ScaleRun, read_runs
-from puffinford.scale.run import NotHeld, Run, RunPlan
+from puffinford.scale.run import NotHeld, Run
 from puffinford.scale.stories import DIRECT, changes, story, third
 from puffinford.scale.told import InForceRow, Span, Told, quantile, time_until_told
 from puffinford.standins.discovery import Discovery
