--- a/benchmarks/scale/__init__.py
+++ b/benchmarks/scale/__init__.py
@@ -1,1 +1,1 @@
-"""What balancers, list service and relays cost as the fleet grows."""
+"""What one balancer and the list service cost by size, and runs of thousands of balancers."""
