--- a/puffinford/core/figures.py
+++ b/puffinford/core/figures.py
@@ -1,4 +1,4 @@
-"""The one register of what jobs came to, by class, from the start of the process."""
+"""The one register of what requests came to, by class, from the start of the process."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 
 class Count(Enum):
     SERVED = "served"  # connections brought up
-    REFUSED = "refused"  # given a requeue notice
+    REFUSED = "refused"  # told to retry later
     FAILED = "failed"  # given any other answer
-    ATTEMPTS = "attempts"  # claims written whole to servers
+    ATTEMPTS = "attempts"  # openings written whole to servers
 
 
 class Figures:
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -28,12 +28,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Opening:
-    """What a submitter asks for. `figures` are all its named values in their order, `wait` (d) among them."""
+    """What a client asks for. `figures` are all its named values in their order, `wait` (d) among them."""
 
-    job: str
+    request_id: str  # the client's own id for it
     key: str
     cls: str
-    wait: float  # milliseconds that the submitter will wait for UP
+    wait: float  # milliseconds that the client will wait for UP
     tenant: str | None = None
     group: str | None = None
     retry: bool = False
@@ -43,7 +43,7 @@
     figures: tuple[tuple[str, str | None], ...] = ()
 
     @classmethod
-    def from_figures(cls, job: str, key: str, figures: tuple[tuple[str, str | None], ...]) -> Opening:
+    def from_figures(cls, request_id: str, key: str, figures: tuple[tuple[str, str | None], ...]) -> Opening:
         """An opening from its named values, whichever front brought them; raises BadOpening."""
         named = dict(figures)
         if len(named) < len(figures):
@@ -55,7 +55,7 @@
         if wait is None:
             raise BadOpening("d is no number of milliseconds")
         return cls(
-            job,
+            request_id,
             key,
             named["c"] or "",
             wait,
@@ -72,7 +72,7 @@
 class Kind(Enum):
     DATA = "data"
     BYE = "bye"  # the server has served the connection to its end
-    MOVE = "move"  # the server sends its submitter away
+    MOVE = "move"  # the server sends its client away
     NOTE = "note"  # the server's note: which of the two the settings name
 
 
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Busy:
-    """The requeue notice: trying again is harmless, and when."""
+    """Trying again is harmless, and after how many ms."""
 
     retry_after: float = 0.0
     why: str = ""  # for the log: what gave it up
@@ -105,7 +105,7 @@
 @dataclass(frozen=True, slots=True)
 class Failed:
     reason: str = "failed"
-    late: bool = False  # the submitter's time was up
+    late: bool = False  # the client's time was up
 
 
 class Ended(Exception):
@@ -116,8 +116,8 @@
     """The connection broke."""
 
 
-class ClaimEnded(Exception):
-    """A claim ended without standing; `messages` are what the server sent for the submitter.
+class AttemptEnded(Exception):
+    """An attempt ended without standing; `messages` are what the server sent for the client.
 
     `report` is the load report beside the server's answer, as text; empty where there is none.
     """
@@ -131,7 +131,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Machine:
-    """An entry of the machine list: what the decisions see of a server, its address and its front."""
+    """An entry of the server list: what the decisions see of a server, its address and its front."""
 
     server: Server
     host: str
@@ -150,7 +150,7 @@
 class Restored:
     """What a start goes by before discovery has spoken: a list, and how far it can be relied on.
 
-    At most `most` claims (0: any number) are out at once to entries in `unproven`, for `patience` ms each.
+    At most `most` attempts (0: any number) are out at once to entries in `unproven`, for `patience` ms each.
     """
 
     machines: MachineList
@@ -161,7 +161,7 @@
 
 
 class Leg(Protocol):
-    """One side's connection of a job."""
+    """One side's connection of a request."""
 
     async def receive(self) -> Message:
         """The next message; raises Ended or Broken."""
@@ -179,7 +179,7 @@
         """Break the connection, so that the peer sees it broken."""
 
 
-class SubmitterLeg(Leg, Protocol):
+class ClientLeg(Leg, Protocol):
     async def left(self) -> bool:
         """Whether the client has ended or cancelled, as far as that has arrived, read or not."""
 
@@ -187,7 +187,7 @@
         """The one answer to the opening. Any but UP is the last of the connection, and `end` follows."""
 
     async def move(self) -> None:
-        """Tell the submitter to come back through the front."""
+        """Tell the client to come back through the front."""
 
 
 class ServerSide(Protocol):
@@ -199,7 +199,7 @@
         admit: Callable[[], Awaitable[None]],
         sent: Callable[[], None],
     ) -> tuple[Leg, Up]:
-        """Make an attempt; raises ClaimEnded with its result, TIMEOUT after `wait`.
+        """Make an attempt; raises AttemptEnded with its result, TIMEOUT after `wait`.
 
         `admit` is awaited once the connection is there, right before the first byte of the opening, and may
         end the attempt; `sent` is called once its last byte has been written.
@@ -209,14 +209,14 @@
         """Whether the machine answers within `wait` ms; with `load` also its load report as text, if any."""
 
 
-class JobWatcher(Protocol):
-    """Hears what becomes of jobs. What it does takes no time and raises nothing."""
+class RequestWatcher(Protocol):
+    """Hears what becomes of requests. What it does takes no time and raises nothing."""
 
     def came_up(self, key: int, cls: str, server: str, set_up: float) -> None:
         """A connection stands, `set_up` ms after its opening came."""
 
     def turned_away(self, key: int, cls: str, *, failed: bool) -> None:
-        """A job of a known class got a requeue notice, or (`failed`) any other answer."""
+        """A request of a known class was told to retry later, or (`failed`) got any other answer."""
 
     def ended(self, key: int, cls: str, server: str, stood: float, *, cut: bool) -> None:
         """A connection that stood for so many ms ended; `cut` where neither side wanted it."""
@@ -226,7 +226,7 @@
 
 
 class MachineSource(Protocol):
-    """Where machine lists come from; the exchange hears of each through `take_list`."""
+    """Where server lists come from; the exchange hears of each through `take_list`."""
 
     def subscribe(self, on: bool) -> None: ...
 
--- a/puffinford/fronts/lines/codec.py
+++ b/puffinford/fronts/lines/codec.py
@@ -35,7 +35,7 @@
 
 
 def decode_first(line: bytes) -> Opening | Ping:
-    """The first line of a submitter."""
+    """The first line of a client."""
     if len(line) > LINE_MOST:
         raise BadLine("line too long")
     text = _text(line)
@@ -57,7 +57,7 @@
     """The line as it came, but for `d`."""
     left = str(max(1, int(wait)))  # never longer than it is
     pieces = [n if v is None else f"{n}={left if n == 'd' else v}" for n, v in opening.figures]
-    return f"OPEN {opening.job} {opening.key} {','.join(pieces)}".encode("latin-1") + END
+    return f"OPEN {opening.request_id} {opening.key} {','.join(pieces)}".encode("latin-1") + END
 
 
 def encode_answer(answer: Up | Busy | Failed) -> bytes:
@@ -73,7 +73,7 @@
 
 
 def decode_answer(line: bytes) -> tuple[Up | Result, str]:
-    """A server's first line: UP, or how the claim ended, with the load report that it may end with."""
+    """A server's first line: UP, or how the attempt ended, with the load report that it may end with."""
     try:
         word, _, rest = _text(line).partition(" ")
     except BadLine:
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -41,9 +41,10 @@
         await here.server("s-1", script, front="channels")
         client = await here.client(opening(figures=b"c=price-lookup,t=a,d=2000,g=5c,again=1,x"))
         assert await client.line() == b"UP r2\r\n"
-        job = decode_opening(asked[0].extra)
-        assert (job.job, job.key, job.cls, job.tenant, job.group) == ("0a", "7f3a", "price-lookup", "a", "5c")
-        assert job.wait == 1_000 and job.came_back and ("x", None) in job.figures
+        taken = decode_opening(asked[0].extra)
+        assert (taken.request_id, taken.key, taken.cls) == ("0a", "7f3a", "price-lookup")
+        assert (taken.tenant, taken.group) == ("a", "5c")
+        assert taken.wait == 1_000 and taken.came_back and ("x", None) in taken.figures
         await client.say(b"M 1 hello")
         lines = [await client.line() for _ in range(4)]
         assert lines == [b"M 1 hello\r\n", b"LOAD 45\r\n", b"BYE\r\n", b"FIN"]
@@ -120,7 +121,7 @@
 
 
 async def test_a_drain_that_arrives_while_a_channel_is_half_written() -> None:
-    """The line is finished before MOVE, however late the submitter makes room for it."""
+    """The line is finished before MOVE, however late the client makes room for it."""
     async with stage() as here:
         await here.server("s-1", answering(b"UP r1", b"0123456789", stay=True))
         client = await here.channel_client()
@@ -129,7 +130,7 @@
         assert isinstance(up, codec.OpenConfirmation)
         assert await client.next() == codec.Data(3, b"0123")
         here.tasks.start_soon(here.exchange.drain, 0.0, 0.0)
-        while not here.exchange._leaving:
+        while here.exchange.serving:
             await anyio.sleep(0)
         await client.say(codec.WindowAdjust(up.sender, 100))
         assert await client.next() == codec.Data(3, b"456789\r\n")
@@ -137,7 +138,7 @@
         assert [await client.next(), await client.next()] == [codec.Eof(3), codec.Close(3)]
 
 
-async def test_a_drain_of_the_server_reaches_its_submitters() -> None:
+async def test_a_drain_of_the_server_reaches_its_clients() -> None:
     async def script(peer: Peer) -> None:
         server = await ChannelPeer(peer.stream).hello()
         number = (await server.confirm()).sender
@@ -154,7 +155,7 @@
 
 
 async def test_a_deadline_closes_the_channel_on_both_sides() -> None:
-    """The server is told before the next claim; an answer that comes late is closed; one final answer."""
+    """The server is told before the next attempt; an answer that comes late is closed; one final answer."""
     told: list[object] = []
     over = anyio.Event()
 
@@ -191,7 +192,7 @@
     ],
 )
 async def test_open_failures_become_outcomes(reason: int, word: bytes) -> None:
-    """For a class that may not run twice only proof that it never ran ends in a requeue notice."""
+    """For a class that may not run twice only proof that it never ran ends in a retry-after."""
 
     async def script(peer: Peer) -> None:
         server = await ChannelPeer(peer.stream).hello()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,8 +23,8 @@
 from puffinford.fronts.channels import codec
 from puffinford.fronts.channels.opening import encode_opening
 from puffinford.fronts.channels.server import ChannelServers
+from puffinford.fronts.lines.client import FIRST_LINE, PINGS_IDLE
 from puffinford.fronts.lines.server import LineServers
-from puffinford.fronts.lines.submitter import FIRST_LINE, PINGS_IDLE
 from puffinford.interface import Effect, RequestClass, ServerState
 from tests.stage import ChannelPeer, Peer, Stage, discovery, echo, opening, program, settings, stage
 
@@ -65,10 +65,10 @@
                 seen += piece
 
 
-def channel_hello(job: str, number: int = 7) -> bytes:
+def channel_hello(request_id: str, number: int = 7) -> bytes:
     """What a channel client sends to open one."""
     figures = (("c", "price-lookup"), ("t", "a"), ("d", "2000"), ("g", "5c"))
-    extra = encode_opening(Opening.from_figures(job, "7f3a", figures), 2_000.0)
+    extra = encode_opening(Opening.from_figures(request_id, "7f3a", figures), 2_000.0)
     message = codec.ChannelOpen(codec.JOB, number, 1_000, 32_768, extra)
     return codec.VERSION.encode() + b"\r\n" + codec.encode(message)
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -1,4 +1,4 @@
-"""Stories of the line front, the exchange and the machine list, over loopback sockets."""
+"""Stories of the line front, the exchange and the server list, over loopback sockets."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 from puffinford.core.clock import SettableClock
 from puffinford.core.delays import Unanswered
-from puffinford.core.values import ClaimEnded, Machine, MachineList, Opening, ServerSide
+from puffinford.core.values import AttemptEnded, Machine, MachineList, Opening, ServerSide
 from puffinford.fronts.lines import codec
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.sockets import Budget
@@ -96,7 +96,7 @@
         assert isinstance(first, Opening)
         machine = Machine(Server("s"), "127.0.0.1", port)
         written: list[bool] = []
-        with pytest.raises(ClaimEnded) as ended:
+        with pytest.raises(AttemptEnded) as ended:
             await LineServers(here.clock, Budget(), 500.0).claim(
                 machine, first, 900.0, anyio.lowlevel.checkpoint, lambda: written.append(True)
             )
@@ -131,7 +131,7 @@
 async def test_a_job_given_up_is_answered_at_once_with_the_time_to_come_back(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
-    """The requeue notice goes out with the last claim's end; the clock never moves. The log says why."""
+    """BUSY goes out with the last attempt's end; the clock never moves. The log says why."""
     async with stage() as here:
         for ident in ("s-1", "s-2"):
             await here.server(ident, answering(b"BUSY"))
@@ -173,11 +173,11 @@
         await here.server("s-1", echo)
         client = await here.client(opening("01"))
         assert await client.line() == b"UP r1\r\n"
-        whole = here.exchange._sides
-        here.exchange._sides = {"lines": cast(ServerSide, SimpleNamespace(claim=broken))}
+        whole = here.exchange._attempts.sides
+        here.exchange._attempts.sides = {"lines": cast(ServerSide, SimpleNamespace(claim=broken))}
         bad = await here.client(opening("02"))
         assert [await bad.line(), await bad.line()] == [b"ERR failed\r\n", b"FIN"]
-        here.exchange._sides = whole
+        here.exchange._attempts.sides = whole
         assert here.exchange._balancer._load == 1.0
         await client.say(b"on")
         assert await client.line() == b"on\r\n"
@@ -262,7 +262,7 @@
         assert here.clock.now() - heard[0] < 4_500.0
 
 
-async def test_a_server_that_ends_because_its_submitter_has_is_not_taken_for_failed() -> None:
+async def test_a_server_that_ends_because_its_client_has_is_not_taken_for_failed() -> None:
     async with stage() as here:
         await here.server("s-1", echo)
         client = await here.client(opening())
@@ -294,7 +294,7 @@
         for _ in range(30):
             here.clock.advance(100.0)
             await anyio.wait_all_tasks_blocked()
-            moves.append(sum(job.standing for job in here.exchange._jobs.values()))
+            moves.append(sum(request.standing for request in here.exchange._requests.values()))
         assert len(set(moves)) > 3, "they went together"
         for client in [*clients, late]:
             assert [await client.line(), await client.line()] == [b"MOVE\r\n", b"FIN"]
