--- a/puffinford/scale/real.py
+++ b/puffinford/scale/real.py
@@ -128,7 +128,7 @@
         lines = Lines(stream)
         try:
             figures = ",".join(f"{name}={value}" for name, value in opening.figures)
-            await lines.say(f"OPEN {opening.job} {opening.key} {figures}".encode())
+            await lines.say(f"OPEN {opening.request_id} {opening.key} {figures}".encode())
             if not (await lines.next()).startswith(b"UP "):
                 return Outcome.REFUSED
             with self._clock.limit(life):
--- a/puffinford/scale/sides.py
+++ b/puffinford/scale/sides.py
@@ -8,7 +8,7 @@
 import anyio
 
 from puffinford.core.clock import Clock
-from puffinford.core.values import Busy, ClaimEnded, Ended, Failed, Leg, Machine, Message, Opening, Up
+from puffinford.core.values import AttemptEnded, Busy, Ended, Failed, Leg, Machine, Message, Opening, Up
 from puffinford.interface import Result
 from puffinford.scale.arrivals import Outcome
 
@@ -59,14 +59,14 @@
         sent: Callable[[], None],
     ) -> tuple[Leg, Up]:
         if machine.server.id in self._dead:
-            raise ClaimEnded(Result.CONNECT_FAILED)
+            raise AttemptEnded(Result.CONNECT_FAILED)
         await admit()
         sent()
         delay = self._rng.uniform(*self._set_up)
         await self._clock.sleep(min(delay, wait))
         if delay > wait:
-            raise ClaimEnded(Result.TIMEOUT)
-        return HollowLeg(), Up(f"r-{opening.job}")
+            raise AttemptEnded(Result.TIMEOUT)
+        return HollowLeg(), Up(f"r-{opening.request_id}")
 
     async def probe(self, machine: Machine, wait: float, load: bool) -> tuple[Result, str]:
         return (Result.CONNECT_FAILED if machine.server.id in self._dead else Result.OK), ""
