--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,7 @@
 # build: what run and sim need; test, lint: what CI checks; run: one balancer by $EDGE_CONFIG; demo: ten seconds of a
-<<<<<<< HEAD
-# small fleet round one balancer; bench-NAME: a measurement, whose last line is `bench NAME key=value ...`
-.PHONY: build dev test lint run demo bench-start bench-rebalance bench-fleet bench-spread bench-scale-runs stage
-=======
 # small fleet round one balancer; bench-NAME: a measurement, whose last line is `bench NAME key=value ...`, with the
 # options in ARGS. Each target installs what it needs: .venv serves, .stage-venv plays stories, .ci-venv tests.
-.PHONY: build dev test lint run demo bench-start bench-rebalance bench-fleet bench-spread stage stage-packages
->>>>>>> origin/main
+.PHONY: build dev test lint run demo bench-start bench-rebalance bench-fleet bench-spread bench-scale-runs stage stage-packages
 
 build:
 	test -x .venv/bin/python || python3 -m venv .venv
@@ -52,12 +47,8 @@
 	.stage-venv/bin/python -m puffinford stage play $(or $(STORY),calm)
 
 bench-fleet: build
-<<<<<<< HEAD
-	.venv/bin/python -m benchmarks.fleet
+	.venv/bin/python -m benchmarks.fleet $(ARGS)
 
-# RUNS="--hollow 1500 --processes 6 --real 4 --story calm"; docs/scale.md. The records need git for their commit
+# ARGS="--hollow 1500 --processes 6 --real 4 --story calm"; docs/scale.md. The records need git for their commit
 bench-scale-runs: dev
-	.ci-venv/bin/python -m benchmarks.scale.runs $(RUNS)
-=======
-	.venv/bin/python -m benchmarks.fleet $(ARGS)
->>>>>>> origin/main
+	.ci-venv/bin/python -m benchmarks.scale.runs $(ARGS)
--- a/puffinford/scale/hollow.py
+++ b/puffinford/scale/hollow.py
@@ -18,6 +18,7 @@
 from puffinford.core.exchange import Exchange
 from puffinford.core.values import MachineList, Opening
 from puffinford.interface import Settings
+from puffinford.machines.endpoints import preference
 from puffinford.machines.entries import parse_address
 from puffinford.operators import OperatorSettings
 from puffinford.scale.arrivals import Arrival, Outcome, arrivals, live
@@ -108,7 +109,9 @@
         self._recorder = ListRecorder(self._exchange, me, record, spec.skip)
         self._list = ListClient(self._recorder, start, clock, lambda machines: None)
         discovery = parse_address(spec.discovery[me - spec.first])
-        self._list.watch(discovery, unprompted=not settings.list_on_request, seed=seed)
+        unprompted = not settings.list_on_request
+        relays = preference(balancer_name(me), operators.discovery.relays)
+        self._list.watch(discovery, unprompted=unprompted, seed=seed, relays=relays)
 
     @property
     def informed(self) -> anyio.Event:
@@ -153,3 +156,8 @@
 def balancer_seed(seed: int, me: int) -> int:
     """The seed of one balancer, hollow or real."""
     return (seed * 1_000_003 + me) & 0xFFFFFFFF
+
+
+def balancer_name(me: int) -> str:
+    """The name of one balancer, hollow or real, by which it prefers one relay."""
+    return f"b{me}"
--- a/puffinford/scale/real.py
+++ b/puffinford/scale/real.py
@@ -16,7 +16,7 @@
 from puffinford.core.clock import Clock
 from puffinford.core.values import Opening
 from puffinford.scale.arrivals import Arrival, Outcome, arrivals, live
-from puffinford.scale.hollow import balancer_seed
+from puffinford.scale.hollow import balancer_name, balancer_seed
 from puffinford.scale.messages import Crowd
 from puffinford.scale.told import InForceRow
 from puffinford.standins.balancer import BalancerProcess
@@ -63,7 +63,7 @@
         settings = {**spec.settings, "me": me}
         seed = balancer_seed(spec.seed, me)
         return BalancerProcess(
-            f"b{me}", spec.directory, spec.discovery, settings, operators=spec.operators, seed=seed
+            balancer_name(me), spec.directory, spec.discovery, settings, operators=spec.operators, seed=seed
         )
 
     async def start(self, most: float) -> None:
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -35,6 +35,7 @@
     inherited,
     local_address,
 )
+from puffinford.machines.endpoints import preference
 from puffinford.management.calls import Calls
 from puffinford.management.cordons import Cordons
 from puffinford.management.http import HttpCalls
@@ -110,7 +111,8 @@
         else:
             assert config.discovery is not None
             unprompted = not config.settings.list_on_request
-            self._list.watch(config.discovery, unprompted=unprompted, seed=config.seed)
+            relays = preference(config.name or str(config.listen), config.operators.discovery.relays)
+            self._list.watch(config.discovery, unprompted=unprompted, seed=config.seed, relays=relays)
         clients = LineClients(self._exchange, door)
         self._lines = Front("lines", clients.handle, door, turn_away=clients.turn_away)
         self._channels = Front("channels", ChannelClients(self._exchange, door).handle, door)
@@ -296,6 +298,8 @@
         old, self._config = self._config, config
         if config.operators.state != old.operators.state:
             log.warning("state settings", extra={"in_force": "at the next start"})
+        if config.operators.discovery != old.operators.discovery:
+            log.warning("discovery settings", extra={"in_force": "at the next start"})
         self._rebalancer.take_settings(config.settings)
         if config.operators.rebalance != old.operators.rebalance:
             self._rebalancer.planner.configure(figures(config.operators.rebalance))
--- a/puffinford/state/list_client.py
+++ b/puffinford/state/list_client.py
@@ -7,7 +7,7 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Protocol
 
@@ -50,10 +50,22 @@
         self._note = note
         self._guard = ListGuard(start.version, start.restored.machines.machines)
 
-    def watch(self, discovery: tuple[str, int], *, unprompted: bool, seed: int) -> None:
-        """Take lists from discovery; `unprompted` where changes count as told without being asked for."""
+    def watch(
+        self,
+        discovery: tuple[str, int],
+        *,
+        unprompted: bool,
+        seed: int,
+        relays: Sequence[tuple[str, int]] = (),
+    ) -> None:
+        """Take lists from discovery; `unprompted` where changes count as told without being asked for.
+
+        `relays` are asked in its place, the preferred one first.
+        """
         rng = random.Random(seed ^ _WATCH_SEED)
-        self.source = DiscoveryWatch(discovery, self._version, self._clock, self._take, unprompted, rng)
+        self.source = DiscoveryWatch(
+            discovery, self._version, self._clock, self._take, unprompted, rng, relays
+        )
 
     def read(self, inventory: Path) -> None:
         """Take lists from an inventory file; raises as `InventoryFile.check` does."""
@@ -63,7 +75,7 @@
     def move(self, discovery: tuple[str, int], *, changed: bool) -> None:
         """Discovery answers there from now on; `changed` where that is another address than before."""
         if isinstance(self.source, DiscoveryWatch):
-            if changed:
+            if changed and not self.source.relayed:
                 self._guard.moved()
             self.source.move(discovery)
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -26,7 +26,7 @@
 from puffinford.scale.plan import RunPlan
 from puffinford.scale.run import NotHeld, Run
 from puffinford.scale.shared_clock import STEP_MOST, TURN_MS, SharedClock
-from puffinford.scale.stories import DIRECT, changes, story, third
+from puffinford.scale.stories import DIRECT, WITH_RELAYS, changes, story, third
 from puffinford.scale.told import InForceRow, Span, Told, quantile, time_until_told
 from puffinford.standins.discovery import Discovery
 from puffinford.standins.listeners import HOST
@@ -78,6 +78,17 @@
         assert run.hollow_told.lists < HOLLOW * run.changes / 2, "what comes together is sent together"
 
 
+@pytest.mark.parametrize("name", WITH_RELAYS)
+def test_every_change_comes_into_force_through_relays_one_of_which_fails(name: str, tmp_path: Path) -> None:
+    run = played(small(name, relays=3), tmp_path)
+    assert run.held, run.why
+    for told in (run.hollow_told, run.real_told):
+        assert (told.missed, told.behind, told.older) == (0, 0, 0)
+    upstream = [relay.upstream_calls for relay in run.relay_load]
+    assert min(upstream[1:]) > 0
+    assert run.list_service.calls == sum(upstream), "no balancer asks the list service itself"
+
+
 # The agreement
 
 
