--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 # build: what run and sim need; test, lint: what CI checks; run: one balancer by $EDGE_CONFIG; demo: ten seconds of a
 # small fleet round one balancer; bench-NAME: a measurement, whose last line is `bench NAME key=value ...`, with the
 # options in ARGS. Each target installs what it needs: .venv serves, .stage-venv plays stories, .bench-venv
-# measures slopes, .ci-venv tests.
+# measures slopes and plays scale runs, .ci-venv tests.
 .PHONY: build dev test lint run demo bench-start bench-rebalance bench-fleet bench-spread stage stage-packages
-.PHONY: bench-scale bench-packages
+.PHONY: bench-scale bench-scale-runs bench-packages
 
 build:
 	test -x .venv/bin/python || python3 -m venv .venv
@@ -63,3 +63,7 @@
 # the slopes (docs/scale-slopes.md); without ARGS it takes 20 min and writes the committed results anew
 bench-scale: bench-packages
 	.bench-venv/bin/python -m benchmarks.scale $(ARGS)
+
+# ARGS="--hollow 1500 --processes 6 --real 4 --story calm"; docs/scale.md. The records need git for their commit
+bench-scale-runs: bench-packages
+	.bench-venv/bin/python -m benchmarks.scale.runs $(ARGS)
