Show beside each run how late the hollow processes' loops were

A hollow balancer shares its process with hundreds, so part of the time until it is told is that of the shared loop.

--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -273,6 +273,7 @@
     heads = (
         "story", "relays", "hollow", "real", "processes", "servers", "service", "p50", "p99", "last",
         "without it", "real p99", "real last", f"99 in 100 within {number(within_s)} s", "held",
+        "hollow loops late", "lost",
     )  # fmt: skip
     return markdown_table(heads, (run_row(run, within_s) for run in in_order(runs)))
 
@@ -303,6 +304,8 @@
         f"{number(theirs.last_s)} s",
         "yes" if in_time else "**no**",
         "yes" if run.held else "**no**",
+        f"{number(run.late_p99_s)} s",
+        f"{number(100.0 * run.lost_part)}%",
     )
 
 
