Wait for the first lists of a scale run no longer than its start takes

3,000 hollow balancers have their lists 10 to 15 s after the start; at 7,500 a run waited 395 s for one that had none (7,499 of 7,500 had a list), and said so. It says so after 132 s now. Why that one had none is open.

--- a/puffinford/scale/run.py
+++ b/puffinford/scale/run.py
@@ -39,7 +39,7 @@
 from puffinford.standins.clients import Kind
 
 READY_LEAST_S = 20.0  # for all to have a list ...
-READY_EACH_S = 0.05  # ... and so much for each balancer
+READY_EACH_S = 0.015  # ... and so much for each balancer
 LEAD_MS = 500.0  # between the commands and the story's first moment
 SETTLE_MOST_S = 15.0  # after the story, for the last change to be in force everywhere
 SETTLE_MOST_DOWN_S = 5.0  # more of it where the source was out
