End every open connection by one plan counted from the first SIGTERM

Symptom: on each planned restart whoever had not asked (nothing written, at rest after PING, half an OPEN; both fronts) was held over the earliest kill, and a request written to it then was lost with a reset or a bare end. Cause: two clocks. The drain counted from SIGTERM, but Service._drain then held what rests for STAY, 10 s, and 2 s more for last ends, counted from the drain's end. At the last answers whoever has not asked gets BUSY (DISCONNECT on channels) and is read until its own end or the close. Accepted connections are a task group that ends first; the process exits. Why it holds: no limit of the end is counted from anything else, and farewells and lingering closes are bounded by the close. Two stories bear that the process has ended by itself. Ruled out: rest alone (fresh and half-written ones too); ending sessions of channels early, which changed no story.

--- a/puffinford/core/context.py
+++ b/puffinford/core/context.py
@@ -10,7 +10,7 @@
 from puffinford.core.clock import Clock
 from puffinford.core.figures import Figures
 from puffinford.core.requests import RequestTable
-from puffinford.core.values import RequestWatcher
+from puffinford.core.values import Busy, RequestWatcher
 
 
 @dataclass(slots=True)
@@ -29,6 +29,11 @@
     watcher: RequestWatcher | None = None
     classes: frozenset[str] = frozenset()  # the names of those in `settings`
 
+    @property
+    def leaving(self) -> Busy:
+        """The refusal of a process that is about to end."""
+        return Busy(self.settings.max_retry_after, "leaving")
+
     def configure(self, settings: it.Settings) -> None:
         """Put settings in force."""
         self.settings = settings
--- a/puffinford/core/drain.py
+++ b/puffinford/core/drain.py
@@ -8,10 +8,9 @@
 from puffinford.core.endings import Endings
 from puffinford.core.logger import log
 from puffinford.core.requests import Ending
-from puffinford.core.values import Busy, Failed
+from puffinford.core.values import Failed
 
 TURN_MOST = 100.0  # ms between two moves, for arrivals come to stand meanwhile
-LAST_LOOK = 20.0  # ms between looks for requests whose legs are still ending
 
 
 class Drain:
@@ -24,13 +23,12 @@
         self.leaving = False  # arrivals are turned away
 
     async def run(self, settle: float, over: float) -> None:
-        """Wait `settle` ms, move all within `over` ms, then end the rest and wait until it is gone."""
+        """Wait `settle` ms, move all within `over` ms, then end the rest; their legs end on their own."""
         await self._context.clock.sleep(settle)
         await self._move_evenly(over)
         self.leaving = True
         self._end_rest()
-        while self._context.requests:
-            await self._context.clock.sleep(LAST_LOOK)
+        log.info("drained")
 
     async def _move_evenly(self, over: float) -> None:
         clock = self._context.clock
@@ -48,8 +46,7 @@
             if request.standing:
                 self._endings.close(request, Ending(move=True), it.Result.CANCELLED)
             elif self._balancer.harmless(request.id, request.attempt is not None and request.attempt.sent):
-                retry_after = self._context.settings.max_retry_after
-                self._endings.abandon(request, Ending(Busy(retry_after, "leaving")))
+                self._endings.abandon(request, Ending(self._context.leaving))
             else:
                 # Guards an effect against happening twice: a refusal says that trying again is harmless.
                 self._endings.abandon(request, Ending(Failed("leaving")))
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -147,9 +147,9 @@
         return not self._drain.leaving
 
     @property
-    def busy(self) -> bool:
-        """Whether any request is in hand."""
-        return bool(self._requests)
+    def leaving(self) -> Busy:
+        """The refusal of a process that is about to end."""
+        return self._context.leaving
 
     def gauges(self) -> dict[str, int]:
         """What stands now; what is left out is the module's word."""
@@ -287,9 +287,10 @@
             return Failed("unknown class")
         if opening.request_id in self._requests:
             return Failed("id in use")
-        if self._drain.leaving or not room:
-            why = "leaving" if self._drain.leaving else "no room"
-            return Busy(self._context.settings.max_retry_after, why)
+        if self._drain.leaving:
+            return self.leaving
+        if not room:
+            return Busy(self._context.settings.max_retry_after, "no room")
         return None
 
     async def _serve(self, request: ClientRequest) -> None:
@@ -315,5 +316,8 @@
             self._endings.abandon(request, Ending(Failed("out of time", late=True)))
 
     async def drain(self, settle: float, over: float) -> None:
-        """Move every standing connection, spread evenly; arrivals are served meanwhile."""
+        """Move every standing connection, spread evenly over `over` ms after `settle`; then end the others.
+
+        Arrivals are served until then, and refused from then on.
+        """
         await self._drain.run(settle, over)
--- a/puffinford/fronts/accepting.py
+++ b/puffinford/fronts/accepting.py
@@ -57,10 +57,8 @@
         self.budget = budget
         self._part = part
         self._waiting: dict[object, anyio.CancelScope] = {}
-
-    @property
-    def empty(self) -> bool:
-        return not self._waiting
+        self.connections = 0  # that were let in and have not ended
+        self.dismissed = False  # the process ends: nobody is waited for any more
 
     @contextmanager
     def wait(self, ms: float) -> Iterator[Callable[[], None]]:
@@ -77,7 +75,8 @@
                 del self._waiting[token]
 
     def dismiss(self) -> None:
-        """Send everybody away: each is answered, and its connection ended, as when its time is up."""
+        """Send everybody away who has not asked: each is answered, and its connection ended."""
+        self.dismissed = True
         for scope in list(self._waiting.values()):
             scope.cancel()
 
@@ -145,12 +144,14 @@
     lacks = 0  # accepts in a row that failed for what this machine lacks
 
     async def guarded(wire: Wire, handle: Handler = handle) -> None:
+        door.connections += 1
         try:
             await handle(wire)
         except Exception:
             log.exception("connection failed")
         finally:
             wire.close()
+            door.connections -= 1
 
     async def answered(wire: Wire) -> None:
         nonlocal turned
--- a/puffinford/fronts/channels/mux.py
+++ b/puffinford/fronts/channels/mux.py
@@ -309,6 +309,8 @@
             if packets.version is None:
                 self._hello(packets, self._wire.read_ready())
             if packets.version is None:
+                if self._dismissed:
+                    return None
                 return codec.Malformed("no version line in time", codec.VERSION_NOT_SUPPORTED)
             self.up.set()
             half_since: float | None = None  # when the message that is not whole began
@@ -335,6 +337,8 @@
                     # Guards an open that came in the moment in which the time was up, or its place needed.
                     chunk, overdue = self._wire.read_ready(), half_since is not None
                 if not chunk:
+                    if self._dismissed:
+                        return None
                     why = "idle" if half_since is None else "no whole message in time"
                     return codec.Malformed(why, codec.BY_APPLICATION)
                 packets.feed(chunk)
@@ -344,6 +348,10 @@
         except (Ended, Broken):
             return None
 
+    @property
+    def _dismissed(self) -> bool:
+        return self._door is not None and self._door.dismissed
+
     def _hello(self, packets: codec.Packets, chunk: bytes) -> None:
         """Take in what came before or with the version line."""
         packets.feed(chunk)
--- a/puffinford/fronts/lines/client.py
+++ b/puffinford/fronts/lines/client.py
@@ -22,6 +22,10 @@
 PINGS_IDLE = 10_000.0  # one that has sent PING may stay this long for the next
 
 
+class Dismissed(Exception):
+    """The process ends before the client has asked for anything."""
+
+
 class LineClients:
     def __init__(self, exchange: Exchange, door: Door) -> None:
         self._exchange = exchange
@@ -49,22 +53,31 @@
             with contextlib.suppress(Broken):
                 await leg.answer(Failed(str(exc)))
                 await leg.end()
+        except Dismissed:
+            # Guards a request that crosses the end of the process: its answer is there before the end.
+            with contextlib.suppress(Broken):
+                await leg.answer(self._exchange.leaving)
+                await leg.end()
         except (Ended, Broken):
             pass
 
     async def _first_line(self, leg: LineLeg) -> bytes:
-        """The next line, all of it within FIRST_LINE; raises BadLine."""
+        """The next line, all of it within FIRST_LINE; raises BadLine, Dismissed."""
         line = b""
         with self._door.wait(FIRST_LINE) as heard:
             line = await leg.read_line(heard)
         # Guards the line that came in the moment in which its time was up, or its place was needed.
         line = line or leg.ready_line() or b""
         if not line:
-            raise codec.BadLine("no line in time")
+            raise self._no_line()
         return line
 
+    def _no_line(self) -> Exception:
+        """Why the wait for a line is over."""
+        return Dismissed() if self._door.dismissed else codec.BadLine("no line in time")
+
     async def _rest(self, leg: LineLeg) -> None:
-        """Wait for the next line to begin; raises BadLine.
+        """Wait for the next line to begin; raises BadLine, Dismissed.
 
         Guards the descriptors against clients that stop in the middle of a line: this long wait ends with its
         first byte.
@@ -72,7 +85,7 @@
         with self._door.wait(PINGS_IDLE) as heard:
             await leg.begun(heard)
         if not leg.has_begun():
-            raise codec.BadLine("no line in time")
+            raise self._no_line()
 
     async def turn_away(self, wire: Wire) -> None:
         """Answer one that finds no place, if its line comes at once; a close would tell it nothing."""
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -70,6 +70,7 @@
         self.reserve = reserve
         self.used = 0
         self._lingering: dict[anyio.CancelScope, None] = {}  # the one that has been at it longest first
+        self.close_at = float("inf")  # on the clock, in ms: no connection is waited for any longer
         self.elsewhere: Callable[[], int] = int  # descriptors of another version, under the same limit
         self.changed: Callable[[], object] = int  # hears of each socket made or closed
 
@@ -90,12 +91,22 @@
     def linger(self, scope: anyio.CancelScope) -> Iterator[None]:
         """A lingering close; `scope` is cancelled where its place is needed."""
         self._lingering[scope] = None
-        self.spare(max(0, self.lingering - max(LINGER_LEAST, self.limit // LINGER_PART)))
+        if not self.closing:  # else no newcomer needs the place
+            self.spare(max(0, self.lingering - max(LINGER_LEAST, self.limit // LINGER_PART)))
         try:
             yield
         finally:
             self._lingering.pop(scope, None)
 
+    @property
+    def closing(self) -> bool:
+        """Whether the process is to end, at `close_at`."""
+        return self.close_at != float("inf")
+
+    def patience(self, most: float, now: float) -> float:
+        """How many ms a peer may take for its part of an end: `most`, or less where the process ends."""
+        return min(most, self.close_at - now)
+
     @property
     def lingering(self) -> int:
         return len(self._lingering)
@@ -217,18 +228,20 @@
         """
         try:
             held = contextlib.suppress(Ended, Broken)
-            with self.clock.limit(LINGER) as scope, self._budget.linger(scope), held:
+            patience = self._budget.patience(LINGER, self.clock.now())
+            with self.clock.limit(patience) as scope, self._budget.linger(scope), held:
                 await self.end_sending()
                 left = LINGER_BYTES
                 while left > 0:
                     left -= len(await self.read(LINGER_READ))
         finally:
+            self.read_ready()  # guards the last answer against what came since: unread it would reset
             self.close()
 
     async def finish(self, data: bytes) -> None:
         """Write the last piece, which a peer has LAST_MOST to take, before `end`; raises Broken."""
         taken = False
-        with self.clock.limit(LAST_MOST):
+        with self.clock.limit(self._budget.patience(LAST_MOST, self.clock.now())):
             await self.write(data)
             taken = True
         if not taken:
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -12,11 +12,13 @@
 import anyio
 import anyio.abc
 
+from puffinford import interface as it
 from puffinford.config import BadConfig, Config
 from puffinford.core.clock import Clock
 from puffinford.core.exchange import Exchange
 from puffinford.core.lacks import waited_out
 from puffinford.core.places import state_path
+from puffinford.core.shutdown import plan_shutdown
 from puffinford.core.starts import StartTimes
 from puffinford.core.values import ServerSide
 from puffinford.fronts.accepting import ACCEPT_TURN, Door, Handler, accept_all, bind, inherited, local_address
@@ -36,15 +38,11 @@
 
 log = logging.getLogger(__name__)
 
-# At a planned restart the kill comes no earlier than the longest deadline (3 s at most) plus 0.7 s after
-# SIGTERM, and new connections arrive for up to 0.4 s: clients moved before that would come back here.
-DRAIN_FROM = 450.0
-DRAIN_MOST = 3_000.0
-KILL_AFTER = 700.0
-DRAIN_SPARE = 900.0  # for the last ends to arrive before the kill
-STAY = 10_000.0  # after the drain, for the platform to end the process itself
-LAST_ENDS_MOST = 2_000.0  # at the end of the process, for last answers and lingering closes
-LOOK = 50.0  # between looks for other versions of this balancer
+LOOK = 50.0  # ms between looks for other versions of this balancer
+LAST_LOOK = 10.0  # ms between looks for connections that have not ended, at the end of the process
+LAST_WORDS = 50.0  # ms that those are given at least, however late the loop is
+SIGNALS_TOGETHER = 20.0  # ms in which signals that were sent in a row may be seen in another order
+RELOAD_MOST = 200.0  # ms that the end waits for a configuration that was told before it
 HAND_OVER = 300.0  # in which an earlier version sees this one, and writes what it has learned
 
 
@@ -59,7 +57,7 @@
     turn_away: Handler | None = None  # answers those who find no place
     address: tuple[str, int] | None = None
     scope: anyio.CancelScope | None = None  # ends the listening; what was accepted stays
-    accepting: bool = False
+    listeners: int = 0  # that accept, or take what waits at an address given up
 
 
 class Service:
@@ -122,9 +120,10 @@
             budget.changed = lambda: self._versions.tell_held(self._budget.used + callers.budget.used)
         self._budget.elsewhere = lambda: self._versions.held_elsewhere
         self._tasks: anyio.abc.TaskGroup
+        self._connections: anyio.abc.TaskGroup  # what was accepted
         self._draining = False
         self._reloads = 0  # SIGHUPs so far
-        self._told_again = False  # SIGTERM came once more during the drain
+        self._reloading = 0  # of these, those that are not done
         self._ready = False
         self._started = clock.now()
 
@@ -148,8 +147,10 @@
                 if self._config.operators.rebalance.enabled:
                     self._start_rebalancing()
                 tasks.start_soon(self._watch_versions)
-                self._listen(listeners)
-                await self._obey(signals)
+                async with anyio.create_task_group() as self._connections:
+                    self._listen(listeners)
+                    await self._obey(signals)
+                    self._connections.cancel_scope.cancel()
                 tasks.cancel_scope.cancel()
         log.info("stopped")
 
@@ -169,35 +170,48 @@
         async for signum in signals:
             if signum == signal.SIGHUP:
                 self._reloads += 1
+                self._reloading += 1
                 self._tasks.start_soon(self._reload, self._reloads)
                 continue
             log.info("stopping", extra={"signal": signal.Signals(signum).name})
             if signum != signal.SIGTERM:
                 return
             if self._draining:
-                # Guards the clients that are being moved: a signal told again ends what is idle, and no more.
-                self._told_again = True
+                # Guards the clients that are being moved: the plan of the end counts from the first signal.
                 continue
             self._draining = True
-            self._tasks.start_soon(self._drain)
+            self._tasks.start_soon(self._shut_down, self._clock.now(), self._config.settings)
 
-    async def _drain(self) -> None:
-        longest = min(DRAIN_MOST, max(cls.deadline for cls in self._config.settings.classes))
+    async def _told_before(self) -> it.Settings:
+        """The settings once a reload that was told before the end, or together with it, is done.
+
+        Guards against a kill that counts by these: signals that are pending together come in any order.
+        """
+        await self._clock.sleep(SIGNALS_TOGETHER)
+        with self._clock.limit(RELOAD_MOST):
+            while self._reloading:
+                await self._clock.sleep(LAST_LOOK)
+        return self._config.settings
+
+    async def _shut_down(self, told: float, settings: it.Settings) -> None:
+        """End the process by the plan that counts from `told`, when `settings` were in force."""
+        known = (settings, await self._told_before())
         self._versions.look()
-        settle = 0.0 if self._versions.succeeded else DRAIN_FROM
+        succeeded = self._versions.succeeded
+        plan = plan_shutdown(known, succeeded=succeeded)
+        spans = {"answer_ms": round(plan.answer_at), "close_ms": round(plan.close_at)}
+        log.info("shutdown", extra={**spans, "kill_ms": round(plan.kill_at)})
+        self._budget.close_at = told + plan.close_at
         self._rebalancer.planner.paused = True  # everybody is moved now
-        if self._versions.succeeded:
+        if succeeded:
             self._keeper.let_go()
-        await self._exchange.drain(settle, longest + KILL_AFTER - settle - DRAIN_SPARE)
-        log.info("drained")
-        with self._clock.limit(STAY):
-            while not ((self._succeeded() or self._told_again) and self._idle()):
-                await self._clock.sleep(LOOK)
+        settle = max(0.0, told + plan.move_from - self._clock.now())
+        await self._exchange.drain(settle, told + plan.answer_at - self._clock.now() - settle)
         await self._end_connections()
-        self._tasks.cancel_scope.cancel()
+        self._connections.cancel_scope.cancel()
 
     async def _end_connections(self) -> None:
-        """Listen no more, answer those who wait or rest, and let the last ends arrive.
+        """Listen no more, answer those who wait or rest, and let the last ends arrive by the close.
 
         Guards a request that crosses the end of the process against a close over it, unread.
         """
@@ -205,18 +219,17 @@
         for front in fronts:
             if front.scope is not None:
                 front.scope.cancel()
-        with self._clock.limit(LAST_ENDS_MOST):
+        door = self._lines.door  # both fronts have the same
+        now = self._clock.now()
+        close_at = max(self._budget.close_at, now + LAST_WORDS)  # guards the answers where the loop is late
+        self._budget.close_at = close_at
+        with self._clock.limit(close_at - now):
             while True:
-                for front in fronts:
-                    front.door.dismiss()
-                await self._clock.sleep(LOOK)
-                if self._idle():
+                door.dismiss()
+                await self._clock.sleep(LAST_LOOK)
+                if not (door.connections or any(front.listeners for front in fronts)):
                     break
 
-    def _idle(self) -> bool:
-        """Whether no peer is owed anything: none waits, is served or has an answer on its way."""
-        return self._lines.door.empty and not self._exchange.busy and not self._budget.lingering
-
     # Versions
 
     async def _watch_versions(self) -> None:
@@ -245,10 +258,12 @@
         if front is not self._mgmt:
             while self._versions.succeeding and not (self._exchange.informed or scope.cancel_called):
                 await self._clock.sleep(LOOK)
-        front.accepting = True
-        await accept_all(
-            listener, front.handle, front.door, self._tasks, scope, front.turn, shared, front.turn_away
-        )
+        front.listeners += 1
+        given = (listener, front.handle, front.door, self._connections, scope, front.turn, shared)
+        try:
+            await accept_all(*given, front.turn_away)
+        finally:
+            front.listeners -= 1
 
     # Listening
 
@@ -262,7 +277,7 @@
             lack = "no machine list yet"
         elif not self._cordons.in_force:
             lack = "the cordons cannot be read"
-        elif not self._lines.accepting or self._lines.scope is None:
+        elif not self._lines.listeners or self._lines.scope is None:
             lack = "not listening yet"
         elif not self._exchange.serving or self._lines.scope.cancel_called:
             lack = "leaving"
@@ -330,11 +345,12 @@
 
         try:
             loaded = await waited_out(made, self._clock)
+            if loaded is not None:
+                self._take_config(*loaded)
         except (BadConfig, OSError) as exc:
             log.error("reload failed", extra={"error": str(exc)})
-            return
-        if loaded is not None:
-            self._take_config(*loaded)
+        finally:
+            self._reloading -= 1
 
     def _take_config(self, config: Config, made: list[tuple[Front, socket.socket]]) -> None:
         """Go by a configuration whose new addresses are bound."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import signal
@@ -45,7 +46,8 @@
             await line.fin()
             await channel.stream.aclose()
             await running.logged(b"event=drained")
-            process.send_signal(signal.SIGINT)
+            with contextlib.suppress(ProcessLookupError):  # it may have ended by itself
+                process.send_signal(signal.SIGINT)
             assert await process.wait() == 0
 
 
@@ -92,7 +94,8 @@
                 assert [await peer.line(), await peer.line()] == [b"MOVE\r\n", b"FIN"]
                 await peer.fin()
             await logged(b"event=drained")
-            process.send_signal(signal.SIGTERM)
+            with contextlib.suppress(ProcessLookupError):  # it may have ended by itself
+                process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
 
 
