Draw clients that hold connections to the kill, idle crowds and other deadlines in the soak

Need: the soak's resting clients asked once, within 3 s; few were open at the kill, its crowd was a doubled rate, and the SIGHUP between the two SIGTERMs changed nothing. Change: clients of each kind (fresh, rested, half, standing), on the channel front too in half of the stories, write on to a balancer that ends, whatever it says: any time before the kill, in its last 300 ms, up to 20 ms after it (what is held until then is lost). The SIGHUP carries half or twice the deadlines. In three of ten stories an idle crowd fills 256 descriptors; it excuses new connections of its time alone. A lost request is told with its balancer, kind of connection and time before the kill. Drawn from a generator of their own: older seeds stay as they were otherwise. Ruled out: requests written before the kill alone: in the last 300 ms the old program answered all but those of the last few ms.

--- a/puffinford/stage/faults.py
+++ b/puffinford/stage/faults.py
@@ -13,7 +13,7 @@
 `roll` (SIGTERM, and started once it has ended), `end` (SIGTERM, SIGHUP and SIGTERM again, killed as early as
 the platform may, and started), `reload` (SIGHUP), `freeze` (SIGSTOP until the fault ends),
 `stall` (killed, started anew and frozen at once: not ready until the fault ends), `descriptors 40` (no more
-open files than that).
+open files than that), `crowd 300` (so many idle clients, until the fault ends).
 """
 
 from __future__ import annotations
@@ -28,6 +28,8 @@
 PLAIN = ("sound", "hold", "drop", "fin", "rst")
 WAYS = ("there", "back")
 FIGURE_MOST = 1e9
+COUNTED = ("descriptors", "crowd")
+COUNT_MOST = 65_536
 PROCESS_FAULTS = ("kill", "terminate", "reload", "restart", "roll", "end", "freeze", "stall")
 
 
@@ -73,9 +75,10 @@
     words = text.split()
     if len(words) == 1 and words[0] in PROCESS_FAULTS:
         return words[0], 0
-    if len(words) == 2 and words[0] == "descriptors" and words[1].isdecimal() and 0 < int(words[1]) <= 65_536:
+    if len(words) == 2 and words[0] in COUNTED and words[1].isdecimal() and 0 < int(words[1]) <= COUNT_MOST:
         return words[0], int(words[1])
-    raise BadFault(f"{text!r} is none of {' '.join(PROCESS_FAULTS)} nor `descriptors` with 1 to 65536")
+    counted = " or ".join(f"`{name}`" for name in COUNTED)
+    raise BadFault(f"{text!r} is none of {' '.join(PROCESS_FAULTS)} nor {counted} with 1 to {COUNT_MOST}")
 
 
 def struck(pattern: object, names: Mapping[str, str], part: float, rng: random.Random) -> list[str]:
--- a/puffinford/stage/play.py
+++ b/puffinford/stage/play.py
@@ -13,12 +13,14 @@
 from collections.abc import Callable, Iterator, Mapping
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 import anyio
 import anyio.abc
 from anyio.lowlevel import checkpoint
 
 from puffinford.core.clock import Clock
+from puffinford.stage.crowds import Crowds, hold_connections
 from puffinford.stage.faults import read_process_fault
 from puffinford.stage.relays import Relays, relays
 from puffinford.stage.script import CLIENTS, DISCOVERY, Event, Script
@@ -27,7 +29,7 @@
 from puffinford.standins.discovery import Discovery
 from puffinford.standins.listeners import HOST
 from puffinford.standins.servers import LineServer
-from puffinford.standins.trace import Trace, What
+from puffinford.standins.trace import KILLED, Trace, What
 
 TENANTS = 6  # that clients come from, in equal parts
 ENDS = {"server": "sound", "links": "sound", "lists": "plain", "balancers": "wake"}  # after `for`
@@ -38,6 +40,7 @@
 LAST_ANSWERS = 500.0  # ms for the answers that are out when the last client has come
 LOOK_EVERY = 2.0  # ms between looks of the play at what it waits for, and at its own loop
 GUARD_EVERY = 250.0  # ms
+OTHER_DEADLINES = (0.5, 2.0)  # times those of before, in a configuration that comes between two SIGTERMs
 END_WITHIN = 20.0  # seconds in which a balancer that is told to end has to
 
 
@@ -71,6 +74,7 @@
         self._seen: dict[str, float] = {}  # when the front last saw a balancer sound
         self.lateness = 0.0  # ms: the most that the playing process itself came late to its turn
         self._ended: set[str] = set()  # balancers that were told to end, and not started since
+        self._crowds: Crowds
 
     async def run(
         self,
@@ -99,6 +103,7 @@
         number = -(-script.balancers // BALANCERS_EACH) if script.linked else 0
         async with relays(number) as self.relays, anyio.create_task_group() as tasks:
             self._tasks = tasks
+            self._crowds = Crowds(tasks)
             self.discovery = Discovery(self.clock, self.trace, tasks, script.lag)
             for ident, make in script.servers.items():
                 server = LineServer(
@@ -133,6 +138,8 @@
                         self.root,
                         seed=script.seed + number,
                         env=self.env,
+                        channels=script.channels,
+                        sockets=script.sockets,
                     )
                 )
                 if script.linked:
@@ -279,7 +286,7 @@
         if do == "wake":
             return await self._wake(balancer)
         kind, figure = read_process_fault(do)
-        if kind not in ("reload", "freeze", "descriptors"):
+        if kind not in ("reload", "freeze", "descriptors", "crowd"):
             self._ended.add(balancer.name)
         match kind:
             case "kill":
@@ -293,6 +300,8 @@
             case "descriptors" if balancer.running:
                 _, most = resource.prlimit(balancer.pid, resource.RLIMIT_NOFILE)
                 resource.prlimit(balancer.pid, resource.RLIMIT_NOFILE, (figure, most))
+            case "crowd":
+                self._crowds.come(balancer.name, balancer.port, figure)
             case "end":
                 await self._end(balancer)
             case "restart" | "roll" | "stall":
@@ -307,21 +316,32 @@
                     balancer.signal(signal.SIGSTOP)
 
     async def _end(self, balancer: BalancerProcess) -> None:
-        """A planned restart by signals in series, with the kill as early as the page allows."""
-        kill_at = (
-            self.clock.now() + min(LONGEST_DEADLINE, max(k.give_up for k in self.script.kinds)) + KILL_SPARE
-        )
+        """A planned restart by signals in series, with the kill as early as the page allows.
+
+        Where clients hold connections until then, the SIGHUP carries a configuration with other deadlines.
+        """
+        longest = max(kind.give_up for kind in self.script.kinds)
+        kill_at = self.clock.now() + min(LONGEST_DEADLINE, longest) + KILL_SPARE
+        if self.script.holding:
+            rng = random.Random(f"{self.script.seed}/{balancer.name}")
+            hold_connections(self.clients, balancer, kill_at, self.script.holding, self.clock, rng)
         for signum in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
             balancer.ready = False
+            if signum == signal.SIGHUP and self.script.holding:
+                balancer.tell(_with_deadlines(balancer.settings, rng.choice(OTHER_DEADLINES)))
             balancer.signal(signum)
             await self.clock.sleep(SERIES)
         while balancer.running and self.clock.now() < kill_at:
             await self.clock.sleep(LOOK_EVERY)
+        if balancer.running:
+            self.trace.add(What.FAULT, by=balancer.name, detail=KILLED)
         balancer.signal(signal.SIGKILL)
+        balancer.tell(balancer.settings)
         self._start(balancer)
 
     async def _wake(self, balancer: BalancerProcess) -> None:
         """Its fault is over, whatever it was."""
+        self._crowds.go(balancer.name)
         balancer.signal(signal.SIGCONT)
         if not balancer.running:  # it was killed and not started since
             self._start(balancer)
@@ -330,6 +350,12 @@
         resource.prlimit(balancer.pid, resource.RLIMIT_NOFILE, (most, most))
 
 
+def _with_deadlines(settings: Mapping[str, Any], times: float) -> dict[str, Any]:
+    """The same settings, but for deadlines that are so many times as long."""
+    classes = [{**cls, "give_up": cls["give_up"] * times} for cls in settings["classes"]]
+    return {**settings, "classes": classes}
+
+
 def port_of(address: str) -> int:
     """The port of HOST:PORT."""
     return int(address.rpartition(":")[2])
--- a/puffinford/stage/script.py
+++ b/puffinford/stage/script.py
@@ -11,6 +11,9 @@
     notice: 0                      # seconds for which the front goes on sending clients to a dead balancer
     patience: 0                    # ms for which clients listen past their time
     rests: 0                       # part of the clients that rest on their connection before they ask
+    holding: 0                     # clients of each kind that hold a connection to one that is told to `end`
+    channels: false                # whether balancers have the channel front too
+    sockets: 4096                  # descriptors that a balancer may hold
     classes:                       # see `clients.Kind`
       price-lookup: {share: 52, aim: 500, give_up: 2000, life: 4000}
     servers:                       # see `servers.Make`; `count` makes NAME-1, NAME-2, ...
@@ -45,14 +48,16 @@
 import yaml
 
 from puffinford.stage.faults import BadFault, read_fault, read_process_fault, struck
+from puffinford.standins.balancer import SOCKETS
 from puffinford.standins.clients import Kind
 from puffinford.standins.discovery import MODES, read_twist
 from puffinford.standins.servers import STATES, Make
 
 CLIENTS = "clients"  # as a party of links
 DISCOVERY = "discovery"  # as a party of links
-FIGURES = ("seed", "seconds", "balancers", "zones", "rate", "quota", "notice", "patience", "rests")
-NAMES = {*FIGURES, "grouped", "busy", "operators", "discovery", "classes", "servers", "events"}
+WHOLE = ("balancers", "zones", "seed", "holding", "sockets")  # figures that are whole numbers
+FIGURES = (*WHOLE, "seconds", "rate", "quota", "notice", "patience", "rests")
+NAMES = {*FIGURES, "channels", "grouped", "busy", "operators", "discovery", "classes", "servers", "events"}
 EVENT_NAMES = {"at", "whom", "do", "for", "part", "over"}
 WHOM = ("discovery", "server", "servers", "balancer", "balancers", "links", "lists")
 SERVER_DOES = (*STATES, "crash", "start", "start cold", "leaving", "left")
@@ -94,6 +99,9 @@
     notice: float = 0.0
     patience: float = 0.0
     rests: float = 0.0
+    holding: int = 0
+    channels: bool = False
+    sockets: int = SOCKETS
     busy: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -131,12 +139,13 @@
     made = Script()
     for name in FIGURES:
         setattr(made, name, _figure(name, told.get(name, getattr(made, name))))
-    for name in ("balancers", "zones", "seed"):
+    for name in WHOLE:
         if getattr(made, name) != int(getattr(made, name)):
             raise BadScript(f"{name}: no whole number")
         setattr(made, name, int(getattr(made, name)))
     made.zones = max(1, made.zones)
     made.grouped = bool(told.get("grouped", True))
+    made.channels = bool(told.get("channels", False))
     made.operators = str(told.get("operators", ""))
     made.lag = _figure("discovery.lag", _mapping("discovery", told.get("discovery")).get("lag", 0.0))
     classes = _mapping("classes", told.get("classes"))
--- a/puffinford/stage/soak.py
+++ b/puffinford/stage/soak.py
@@ -11,14 +11,17 @@
 
 from puffinford.stage.script import Script, read_script
 from puffinford.standins import checks
-from puffinford.standins.trace import Trace, What
+from puffinford.standins.trace import CROWD as CROWD_FAULT
+from puffinford.standins.trace import KILLED, OVER, Entry, Trace, What
 
 SECONDS = 9.0  # of a story
 BALANCERS = 30  # at most
 PER_BALANCER = 6.0  # openings a second, and no fewer than ...
 RATE_LEAST = 30.0  # ... so many in all, ...
 RATE_MOST = 60.0  # ... and no more
-CROWD = 2.0  # times the rate in stories with a crowd
+BURST = 2.0  # times the rate in stories with a burst
+CROWD = 400  # idle clients that come to a balancer at once ...
+CROWDED_SOCKETS = 256  # ... which may hold so many descriptors then
 EFFECTS = ("idempotent", "at_most_once", "deduplicated")
 LATE_MOST = 100.0  # ms; with a loop later than this, clients that ran out of time say nothing
 GRACE = 3_000.0  # ms after which nothing new goes to a server that drains, as the settings tell it
@@ -32,7 +35,7 @@
     rng = random.Random(f"soak/{seed}")
     balancers = rng.choice([number for number in (1, 2, 3, 5, 8, 13, 20, 30) if number <= max(1, most)])
     servers = rng.randint(3, 8)
-    rate = min(RATE_MOST, max(RATE_LEAST, PER_BALANCER * balancers)) * rng.choice([1.0, 1.0, CROWD])
+    rate = min(RATE_MOST, max(RATE_LEAST, PER_BALANCER * balancers)) * rng.choice([1.0, 1.0, BURST])
     told: dict[str, Any] = {
         "seed": seed,
         "seconds": SECONDS,
@@ -47,9 +50,31 @@
         "discovery": {"lag": rng.choice([0, 200, 900])},
         "events": [*_ends(rng, balancers), *_server_events(rng, servers), *_list_events(rng)],
     }
+    _draw_held(random.Random(f"soak/{seed}/held"), told)
     return read_script(told)
 
 
+def _draw_held(rng: random.Random, told: dict[str, Any]) -> None:
+    """Draw clients that hold connections until a balancer ends, and a crowd at those that do.
+
+    Drawn apart from all else, so that the stories of older seeds stay as they were otherwise.
+    """
+    told["holding"] = rng.choice([1, 2])
+    told["channels"] = rng.random() < 0.5
+    if rng.random() < 0.3:
+        end = next(event for event in told["events"] if event["do"] == "end")
+        at = max(0.0, end["at"] - rng.uniform(0.0, 1.0))
+        told["sockets"] = CROWDED_SOCKETS
+        crowd = {
+            "at": at,
+            "balancers": "n*",
+            "part": 0.3,
+            "do": f"crowd {CROWD}",
+            "for": rng.uniform(1.0, 4.0),
+        }
+        told["events"].append(crowd)
+
+
 def _class(rng: random.Random) -> dict[str, Any]:
     return {
         "give_up": rng.choice([400, 800, 2_000, 3_000, 4_500]),
@@ -110,25 +135,53 @@
         *checks.one_final_answer(trace, settled),
         *checks.never_two_claims(trace, checks.CROSSING + 2.0 * late),
         *checks.drains_kept(trace, GRACE + late),
-        *_lost(trace, script, late),
+        *lost(trace, script, late),
         *checks.moves_said(trace),
         *checks.effects_kept(trace, {kind.name: (kind.effect, kind.window + late) for kind in script.kinds}),
         *(checks.slow_start_kept(trace, servers) if facts else []),
     ]
 
 
-def _lost(trace: Trace, script: Script, late: float) -> list[str]:
+def lost(trace: Trace, script: Script, late: float) -> list[str]:
     """Requests that a balancer had and that ended without an answer.
 
     No balancer had those that came while none was there, or that none accepted any more. Where the clients
-    were late themselves (LATE_MOST), those that ran out of time say nothing.
+    were late themselves (LATE_MOST), those that ran out of time say nothing. New connections may be shut
+    unread where idle clients fill a balancer's descriptors.
     """
     least = {kind.name: kind.give_up for kind in script.kinds}
-    judged = late < LATE_MOST
-    nowhere = {entry.job for entry in trace.of(What.ASKED) if not entry.by}
-    lost = [entry for entry in trace.of(What.LOST) if entry.job not in nowhere]
-    return [
-        f"{entry.job}: lost after {entry.ms:.0f} ms, {entry.detail or 'out of time'}"
-        for entry in lost
-        if entry.detail != "REFUSED" and (judged or entry.ms < least[entry.cls])
-    ]
+    asked = {entry.job: entry for entry in trace.of(What.ASKED)}
+    crowded = _crowded(trace)
+
+    def excused(entry: Entry) -> bool:
+        request = asked[entry.job]
+        if not request.by or entry.detail == "REFUSED":
+            return True
+        if not entry.detail:
+            return late >= LATE_MOST and entry.ms >= least[entry.cls]
+        return not request.detail and any(
+            since <= request.at and entry.at <= until for since, until in crowded.get(request.by, ())
+        )
+
+    return [_told(trace, entry, asked[entry.job]) for entry in trace.of(What.LOST) if not excused(entry)]
+
+
+def _told(trace: Trace, lost: Entry, request: Entry) -> str:
+    """What became of a lost request, on what connection, and when its balancer was killed, if it was."""
+    how = lost.detail or "out of time"
+    told = f"{lost.job}: lost after {lost.ms:.0f} ms, {how}, by {request.by}"
+    told += f" on a {request.detail or 'new'} connection"
+    kills = [entry.at for entry in trace.of(What.FAULT) if entry.by == request.by and entry.detail == KILLED]
+    return told + "".join(f", written {at - request.at:.1f} ms before the kill" for at in kills)
+
+
+def _crowded(trace: Trace) -> dict[str, list[tuple[float, float]]]:
+    """From when until when idle clients came to each balancer, in ms."""
+    spans: dict[str, list[tuple[float, float]]] = {}
+    for entry in trace.of(What.FAULT):
+        if entry.detail.split(" ")[0] == CROWD_FAULT:
+            spans.setdefault(entry.by, []).append((entry.at, float("inf")))
+        elif entry.detail == OVER and entry.by in spans:
+            since, until = spans[entry.by][-1]
+            spans[entry.by][-1] = (since, min(until, entry.at))
+    return spans
--- a/puffinford/standins/balancer.py
+++ b/puffinford/standins/balancer.py
@@ -66,6 +66,7 @@
     return {**told, **more}
 
 
+SOCKETS = 4_096  # descriptors that a process may hold, where nothing else is told
 PORTS = (10_000, 32_000)  # under those that the kernel gives to connections going out
 _GIVEN: set[int] = set()  # guards hundreds of processes against two with one port: none listens yet
 
@@ -99,14 +100,19 @@
         root: Path | None = None,
         seed: int = 1,
         env: Mapping[str, str] | None = None,
+        channels: bool = False,
+        sockets: int = SOCKETS,
     ) -> None:
         """`operators` is the text of its operators' file, `root` another source tree to run; `env` is added
-        to its environment.
+        to its environment. `channels` turns the channel front on; it may hold `sockets` descriptors.
         """
         self._env = dict(env or {})
         self.name = name
         self.port = free_port()
         self.mgmt = free_port()
+        self.channel_port = free_port() if channels else 0
+        if channels:
+            operators += f"\nsection channels\n enabled on\n listen {HOST}:{self.channel_port}\n"
         self.directory = directory
         self.log = directory / f"{name}.log"
         self._private = directory / f"{name}.tmp"
@@ -120,18 +126,29 @@
         self._operators = directory / f"{name}.conf" if operators else None
         if self._operators is not None:
             self._operators.write_text(operators)
-        told = {
+        told: dict[str, Any] = {
             "name": name,
             "listen": f"{HOST}:{self.port}",
             "mgmt": f"{HOST}:{self.mgmt}",
             "discovery": discovery,
             "seed": f"{seed:x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4_096},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "settings": settings,
         }
         if known is not None:
             told["known"] = known
-        self._config.write_text(json.dumps(told))
+        self._told = told
+        self.tell(settings)
+
+    def tell(self, settings: Mapping[str, Any]) -> None:
+        """Write its configuration with these settings; it reads them at its start and at SIGHUP."""
+        self._config.write_text(json.dumps({**self._told, "settings": settings}))
+
+    @property
+    def settings(self) -> Mapping[str, Any]:
+        """The settings that it was made with."""
+        settings: Mapping[str, Any] = self._told["settings"]
+        return settings
 
     @property
     def running(self) -> bool:
--- a/puffinford/standins/clients.py
+++ b/puffinford/standins/clients.py
@@ -4,17 +4,25 @@
 
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 import anyio.abc
 from anyio.abc import SocketStream
 
 from puffinford.core.clock import Clock
+from puffinford.standins.holding import (
+    ChannelLines,
+    Connection,
+    channel_script,
+    line_script,
+    send,
+)
 from puffinford.standins.listeners import HOST, Lines, reset
 from puffinford.standins.trace import Trace, What
 
 REST = 3_000.0  # ms that a client rests at most before it asks
+HELD_EVERY = 100.0  # ms between the lines of one that uses its connection until its balancer ends
 
 
 @dataclass(frozen=True)
@@ -33,6 +41,27 @@
     window: float = 5_000.0  # in which servers discard repeats, where the effect says so
 
 
+def _opening(job: str, kind: Kind, group: str, again: str) -> bytes:
+    """The line that opens a connection, without its end."""
+    figures = f"c={kind.name},t=m{int(group, 16) % 6},d={kind.give_up:.0f},g={group}{again}"
+    return f"OPEN {job} {group} {figures}".encode()
+
+
+def _server(answer: bytes) -> str:
+    """The stand-in server that gave an UP, by its receipt."""
+    return answer.decode().removeprefix("UP r-").rpartition("-")[0]
+
+
+@dataclass(frozen=True)
+class _Asked:
+    """The request of a held connection, to the balancer `by`."""
+
+    job: str
+    kind: Kind
+    by: str
+    how: str  # of its connection, for the trace
+
+
 class Clients:
     """A population that arrives at `rate` a second, whatever becomes of those before (open loop)."""
 
@@ -106,8 +135,7 @@
 
     async def _try(self, kind: Kind, life: float, group: str, again: str) -> tuple[str, float]:
         """One connection: `done`, `back` where it stood and ended, `no` with the ms to stay away."""
-        self._made += 1
-        job = f"{self._seed:08x}{self._made:08x}"
+        job = self._next_job()
         by, port = self._front() or ("", 0)
         stream: SocketStream | None = None
         lines: Lines | None = None
@@ -117,7 +145,8 @@
                 return "no", 0.0
             stream = lines.stream
         began = self._clock.now()
-        self._trace.add(What.ASKED, job=job, cls=kind.name, by=by)
+        rested = "rested" if lines is not None else ""
+        self._trace.add(What.ASKED, job=job, cls=kind.name, by=by, detail=rested)
         answer = b""
         self.asking += 1
         try:
@@ -125,8 +154,7 @@
                 if port:
                     stream = stream or await anyio.connect_tcp(HOST, port)
                     lines = lines or Lines(stream)
-                    figures = f"c={kind.name},t=m{int(group, 16) % 6},d={kind.give_up:.0f},g={group}{again}"
-                    await lines.say(f"OPEN {job} {group} {figures}".encode())
+                    await lines.say(_opening(job, kind, group, again))
                     answer = await lines.next()
         except OSError:
             answer = b"REFUSED"
@@ -136,7 +164,7 @@
         try:
             if lines is None or not answer.startswith(b"UP "):
                 return self._turned_away(job, kind, answer, ms)
-            server = answer.decode().removeprefix("UP r-").rpartition("-")[0]
+            server = _server(answer)
             self._trace.add(What.UP, job=job, cls=kind.name, server=server, ms=ms)
             # Guards what came right behind UP, in the same piece: the reader that holds it goes on.
             return await self._stay(lines, kind, job, server, life), 0.0
@@ -144,6 +172,69 @@
             if stream is not None:
                 await anyio.aclose_forcefully(stream)
 
+    def _next_job(self) -> str:
+        self._made += 1
+        return f"{self._seed:08x}{self._made:08x}"
+
+    def hold(self, state: str, by: str, port: int, asks_at: float, *, channels: bool = False) -> None:
+        """A client comes to this balancer now, and goes on using its connection whatever is said to it.
+
+        It gets as far as `state`, one of `holding.STATES`, and writes the rest of its request when the clock
+        shows `asks_at` ms.
+        """
+        self._tasks.start_soon(self._hold, state, by, port, asks_at, channels)
+
+    async def _hold(self, state: str, by: str, port: int, asks_at: float, channels: bool) -> None:
+        chosen = self._rng.choices(self._kinds, [k.share for k in self._kinds])[0]
+        kind = replace(chosen, every=HELD_EVERY)
+        opening = _opening(self._next_job(), kind, f"{self._rng.randrange(kind.groups):x}", "")
+        try:
+            stream = await anyio.connect_tcp(HOST, port)
+        except OSError:
+            return
+        try:
+            if channels:
+                script = channel_script(state, opening, kind.give_up)
+                connection: Connection = ChannelLines(stream)
+            else:
+                script = line_script(state, opening)
+                connection = Lines(stream)
+            if not await send(stream, script.before):
+                return
+            if script.greeted and await connection.next() != b"PONG":
+                return
+            job = opening.split()[1].decode()
+            asked = _Asked(job, kind, by, f"held {state}{' channel' if channels else ''}")
+            await self._use(connection, asked, script.rest, asks_at)
+        finally:
+            await anyio.aclose_forcefully(stream)
+
+    async def _use(self, connection: Connection, asked: _Asked, rest: bytes, asks_at: float) -> None:
+        """Write the rest of a request in time, and hear the answer, which may have come before it."""
+        kind = asked.kind
+        wait = max(0.0, asks_at - self._clock.now()) if rest else 0.0
+        answer, told = b"", anyio.Event()
+        began = self._clock.now() + wait
+
+        async def ask() -> None:
+            await self._clock.sleep(wait)
+            self._trace.add(What.ASKED, job=asked.job, cls=kind.name, by=asked.by, detail=asked.how)
+            told.set()
+            await send(connection.stream, rest)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            with self._clock.limit(wait + kind.give_up + self._patience):
+                answer = await connection.next()
+            await told.wait()
+        ms = max(0.0, self._clock.now() - began)
+        if not answer.startswith(b"UP "):
+            self._turned_away(asked.job, kind, answer, ms)
+            return
+        server = _server(answer)
+        self._trace.add(What.UP, job=asked.job, cls=kind.name, server=server, ms=ms)
+        await self._stay(connection, kind, asked.job, server, REST + kind.give_up)
+
     async def _rested(self, port: int) -> Lines | None:
         """A connection that has been heard and has rested; None where it was ended meanwhile."""
         try:
@@ -172,7 +263,7 @@
             self._trace.add(What.LOST, job=job, cls=kind.name, ms=ms, detail=answer.decode("latin-1"))
         return "no", 0.0
 
-    async def _stay(self, lines: Lines, kind: Kind, job: str, server: str, life: float) -> str:
+    async def _stay(self, lines: Connection, kind: Kind, job: str, server: str, life: float) -> str:
         """A connection that stands: a line each `every` ms, until its life is over or it ends."""
         ended: list[bytes] = []
         sent: list[float] = []
--- a/puffinford/standins/trace.py
+++ b/puffinford/standins/trace.py
@@ -29,6 +29,9 @@
     STATE = "state"  # a server has changed what it does: see `detail`
 
 
+KILLED = "killed"  # detail of a FAULT: a balancer that was told to end ran on until then
+CROWD = "crowd"  # first word of the detail of a FAULT: idle clients come to a balancer
+OVER = "wake"  # detail of a FAULT: that of a balancer is over
 ANSWERS = (What.UP, What.BUSY, What.FAILED, What.LOST)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,13 +4,14 @@
 
 import shutil
 import threading
+from dataclasses import replace
 from pathlib import Path
 
 import anyio
 import pytest
 
 from puffinford.stage.play import Play
-from puffinford.stage.soak import breaches, draw
+from puffinford.stage.soak import breaches, draw, lost
 from puffinford.standins import checks
 from puffinford.standins.trace import What
 from tests.processes import SEAM, Plan
@@ -61,20 +62,46 @@
     assert breaches(trace, script, play.lateness) == []
 
 
-def test_processes_that_end_at_a_second_signal_are_found(tmp_path: Path) -> None:
-    """The same program, but for the one line that the operators found to cut everybody off."""
+SECOND_SIGNAL = "counts from the first signal.\n                continue"
+
+
+@pytest.mark.parametrize(
+    ("line", "instead", "told"),
+    [
+        (SECOND_SIGNAL, SECOND_SIGNAL.replace("continue", "return"), "cut without MOVE"),
+        ("door.dismiss()", "pass", "on a held rested connection"),
+    ],
+    ids=["ended at a second signal", "held over the kill"],
+)
+def test_processes_that_end_amiss_are_found(line: str, instead: str, told: str, tmp_path: Path) -> None:
+    """The same program, but for a line: it cuts all off at a second signal, or holds them to the kill."""
     tree = tmp_path / "tree"
     shutil.copytree(ROOT / "puffinford", tree / "puffinford", ignore=shutil.ignore_patterns("__pycache__"))
     shutil.copytree(ROOT / "deploy", tree / "deploy")
     serve = tree / "puffinford" / "serve.py"
-    kept = "counts from the first signal.\n                continue"
-    broken = serve.read_text().replace(kept, kept.replace("continue", "return"))
+    broken = serve.read_text().replace(line, instead)
     assert broken != serve.read_text()
     serve.write_text(broken)
     script = draw(11, SMALL)
     play = Play(script, tmp_path, root=tree)
     trace = anyio.run(play.run)
-    assert any("cut without MOVE" in breach for breach in breaches(trace, script, play.lateness))
+    assert any(told in breach for breach in breaches(trace, script, play.lateness))
+
+
+@pytest.mark.parametrize(
+    ("how", "at", "wrong"),
+    [("", 50.0, False), ("", 5_000.0, True), ("rested", 50.0, True), ("held fresh", 50.0, True)],
+)
+def test_a_crowd_excuses_none_but_new_connections_of_its_time(how: str, at: float, wrong: bool) -> None:
+    """Idle clients that fill the descriptors may have new connections shut unread, and no others."""
+    trace = traced(
+        (0.0, What.FAULT, {"by": "n1", "detail": "crowd 400"}),
+        (at, What.ASKED, {"job": "a", "cls": "class-0", "by": "n1", "detail": how}),
+        (at + 9.0, What.LOST, {"job": "a", "cls": "class-0", "ms": 9.0, "detail": "RST"}),
+    )
+    if at > 1_000.0:
+        trace.entries.insert(1, replace(trace.entries[0], at=1_000.0, detail="wake"))
+    assert bool(lost(trace, draw(11, SMALL), 0.0)) is wrong
 
 
 KINDS = {"once": ("at_most_once", 0.0), "keyed": ("deduplicated", 1_000.0), "safe": ("idempotent", 0.0)}
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -45,6 +45,8 @@
         ({"events": [{"at": 1, "servers": "gw-1", "links": "n1 > gw-1"}]}, "entry 1: needs one of"),
         ({"events": [{"at": 1, "balancers": "n1", "do": "kill", "until": 3}]}, "entry 1: unknown: until"),
         ({"events": [{"at": 1, "balancers": "n1", "do": "descriptors none"}]}, "entry 1: .*descriptors"),
+        ({"events": [{"at": 1, "balancers": "n1", "do": "crowd 0"}]}, "entry 1: .*crowd"),
+        ({"holding": 0.5}, "holding: no whole number"),
         ({"events": [{"at": 1, "servers": "zone:z9", "do": "crash"}]}, "entry 1: 'zone:z9' names none"),
         ({"events": [{"at": 1, "lists": "n1", "do": "late"}]}, "entry 1: 'late' is none"),
         ({"events": [{"at": 1, "lists": "n1", "do": "late 1e9"}]}, "entry 1: .*60000 ms"),
