Have an entry of the known failures name its command, and hold faults without a test

Change: KNOWN-RED.txt has lines of `TEST | COMMAND | SEEN | issue N`; `none` for TEST where only a play shows the fault, told as `no test` in each run. What is incomplete, empty or doubled is refused; three entries at most, as before. Tests changed: the same cases in the new form, and three more (no command, an empty one, a command twice).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -34,7 +34,7 @@
         raise pytest.UsageError(f"KNOWN-RED.txt names no test: {', '.join(missing)}")
     for red in listed:
         if red.test in named:
-            mark = pytest.mark.xfail(reason=f"{red.cause} (issue {red.issue})", strict=False)
+            mark = pytest.mark.xfail(reason=f"{red.seen} (issue {red.issue})", strict=False)
             named[red.test].add_marker(mark)
 
 
@@ -48,5 +48,5 @@
 
 def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter, config: pytest.Config) -> None:
     for red in config.stash[KNOWN]:
-        result = _results.get(red.test, "not run")
-        terminalreporter.write_line(f"KNOWN-RED {result}: {red.test}: {red.cause} (issue {red.issue})")
+        result = _results.get(red.test, "not run") if red.test else "no test"
+        terminalreporter.write_line(f"KNOWN-RED {result}: {red}")
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,7 +1,8 @@
-"""KNOWN-RED.txt: tests that fail for a real fault which is still to be mended, three at most.
+"""KNOWN-RED.txt: real faults that are still to be mended, three at most.
 
-A line is `TEST | CAUSE | issue N`, TEST as pytest names it. CI passes over just these, and prints each with
-its result, also when it has passed.
+A line is `TEST | COMMAND | SEEN | issue N`: TEST as pytest names it, or `none` where no test shows the fault;
+COMMAND with its seed makes it come; SEEN is what was seen then. CI passes over just these tests, and prints
+each entry with its result, also when it has passed.
 """
 
 from __future__ import annotations
@@ -11,7 +12,10 @@
 from pathlib import Path
 
 MOST = 3
-_LINE = re.compile(r"(tests/\S+\.py::\S.*?) \| (\S.*?) \| issue (\d+)")
+NO_TEST = "none"
+FORM = "TEST | COMMAND | SEEN | issue N"
+_TEST = re.compile(rf"tests/\S+\.py::\S.*|{NO_TEST}")
+_ISSUE = re.compile(r"issue (\d+)")
 
 
 class BadKnownRed(Exception):
@@ -20,28 +24,46 @@
 
 @dataclass(frozen=True)
 class KnownRed:
+    """A known fault. `test` is empty where none shows it."""
+
     test: str
-    cause: str
+    command: str
+    seen: str
     issue: int
 
+    def __str__(self) -> str:
+        return f"{self.test or self.command}: {self.seen} (issue {self.issue})"
+
 
 def read(path: Path) -> list[KnownRed]:
-    """The file's lines; none where there is no file. Raises BadKnownRed."""
+    """The file's entries; none where there is no file. Raises BadKnownRed."""
     if not path.exists():
         return []
     listed: list[KnownRed] = []
     for number, line in enumerate(path.read_text().splitlines(), 1):
-        found = _LINE.fullmatch(line)
-        if found is None:
-            raise BadKnownRed(f"{path.name}:{number}: {line!r} is not TEST | CAUSE | issue N")
-        if any(red.test == found[1] for red in listed):
-            raise BadKnownRed(f"{path.name}:{number}: {found[1]} is listed twice")
-        listed.append(KnownRed(found[1], found[2], int(found[3])))
+        red = _entry(line)
+        if red is None:
+            raise BadKnownRed(f"{path.name}:{number}: {line!r} is not {FORM}")
+        if any((other.test or other.command) == (red.test or red.command) for other in listed):
+            raise BadKnownRed(f"{path.name}:{number}: {red.test or red.command} is listed twice")
+        listed.append(red)
     if len(listed) > MOST:
         raise BadKnownRed(f"{path.name}: {len(listed)} lines, {MOST} at most")
     return listed
 
 
+def _entry(line: str) -> KnownRed | None:
+    """The entry of a line; None where it is incomplete."""
+    parts = [part.strip() for part in line.split(" | ")]
+    if len(parts) != 4 or not all(parts):
+        return None
+    test, command, seen, issue = parts
+    number = _ISSUE.fullmatch(issue)
+    if _TEST.fullmatch(test) is None or number is None:
+        return None
+    return KnownRed("" if test == NO_TEST else test, command, seen, int(number[1]))
+
+
 def absent(listed: list[KnownRed], collected: set[str]) -> list[str]:
     """The listed tests that do not exist."""
-    return [red.test for red in listed if red.test not in collected]
+    return [red.test for red in listed if red.test and red.test not in collected]
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -11,7 +11,7 @@
 from tests import known_red
 
 ROOT = Path(__file__).parent.parent
-LINE = "tests/test_{}.py::test_{} | a cause | issue 7\n"
+LINE = "tests/test_{}.py::test_{} | make test | it fails | issue 7\n"
 
 
 @pytest.mark.parametrize(
@@ -19,11 +19,23 @@
     [
         "".join(LINE.format(n, n) for n in range(4)),
         LINE.format(1, 1) * 2,
-        "tests/test_a.py::test_a | no issue\n",
-        "test_a | a cause | issue 7\n",
+        "tests/test_a.py::test_a | make test | it fails | no issue\n",
+        "test_a | make test | it fails | issue 7\n",
         "\n",
+        "tests/test_a.py::test_a | it fails | issue 7\n",
+        "tests/test_a.py::test_a | | it fails | issue 7\n",
+        "none | make soak FIRST=3 | it fails | issue 7\n" * 2,
+    ],
+    ids=[
+        "four lines",
+        "twice",
+        "no issue",
+        "no file",
+        "an empty line",
+        "no command",
+        "empty",
+        "twice a command",
     ],
-    ids=["four lines", "twice", "no issue", "no file", "an empty line"],
 )
 def test_a_list_that_cannot_be_used_is_named(text: str, tmp_path: Path) -> None:
     path = tmp_path / "KNOWN-RED.txt"
@@ -47,14 +59,20 @@
 
 def test_a_run_passes_over_just_the_listed_and_prints_each_with_its_result(tmp_path: Path) -> None:
     done = run(
-        tmp_path, "tests/test_a.py::test_red | a | issue 7\ntests/test_a.py::test_green | b | issue 8\n"
+        tmp_path,
+        "tests/test_a.py::test_red | make test | a | issue 7\n"
+        "tests/test_a.py::test_green | make test | b | issue 8\n"
+        "none | make soak FIRST=3 | c | issue 9\n",
     )
     assert done.returncode == 0, done.stdout
     assert "KNOWN-RED failed: tests/test_a.py::test_red: a (issue 7)" in done.stdout
     assert "KNOWN-RED passed: tests/test_a.py::test_green: b (issue 8)" in done.stdout
+    assert "KNOWN-RED no test: make soak FIRST=3: c (issue 9)" in done.stdout
 
 
-@pytest.mark.parametrize("listed", ["", "tests/test_a.py::test_other | a | issue 7\n", "nonsense\n"])
+@pytest.mark.parametrize(
+    "listed", ["", "tests/test_a.py::test_other | make test | a | issue 7\n", "nonsense\n"]
+)
 def test_a_run_fails_for_what_is_not_listed_and_for_a_list_that_names_no_test(
     listed: str, tmp_path: Path
 ) -> None:
