Part the listening addresses of a process from the service that puts it together

Names as before in the log. No behaviour changes. Ruled out: the shutdown as a class of its own: it needs nearly every part of the service.

--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -5,9 +5,7 @@
 import logging
 import random
 import signal
-import socket
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
 
 import anyio
 import anyio.abc
@@ -21,12 +19,13 @@
 from puffinford.core.shutdown import plan_shutdown
 from puffinford.core.starts import StartTimes
 from puffinford.core.values import ServerSide
-from puffinford.fronts.accepting import ACCEPT_TURN, Door, Handler, accept_all, bind, inherited, local_address
+from puffinford.fronts.accepting import Door
 from puffinford.fronts.channels.client import ChannelClients
 from puffinford.fronts.channels.server import ChannelServers
 from puffinford.fronts.lines.client import LineClients
 from puffinford.fronts.lines.server import LineServers
 from puffinford.fronts.sockets import MGMT_MOST, MGMT_TURN, RESERVE, Budget, descriptors_allowed
+from puffinford.listening import Bound, Front, Listening
 from puffinford.machines.endpoints import preference
 from puffinford.management.calls import Calls
 from puffinford.management.cordons import Cordons
@@ -46,27 +45,12 @@
 HAND_OVER = 300.0  # in which an earlier version sees this one, and writes what it has learned
 
 
-@dataclass
-class Front:
-    """One listening address and what serves the connections that come there."""
-
-    name: str
-    handle: Handler
-    door: Door
-    turn: int = ACCEPT_TURN
-    turn_away: Handler | None = None  # answers those who find no place
-    address: tuple[str, int] | None = None
-    scope: anyio.CancelScope | None = None  # ends the listening; what was accepted stays
-    listeners: int = 0  # that accept, or take what waits at an address given up
-
-
 class Service:
     """The parts of one balancer, and what a new configuration changes in them."""
 
     def __init__(self, config: Config, clock: Clock, load: Callable[[], Config], starts: StartTimes) -> None:
         """`load` reads the configuration anew; `starts` has mapped the starts of its `known`."""
         self._config = config
-        self._home = config.listen
         self._clock = clock
         self._load = load
         self._budget = Budget(descriptors_allowed(config.limits.sockets), RESERVE + MGMT_MOST + MGMT_TURN)
@@ -106,15 +90,16 @@
             relays = preference(config.name or str(config.listen), config.operators.discovery.relays)
             self._list.watch(config.discovery, unprompted=unprompted, seed=config.seed, relays=relays)
         clients = LineClients(self._exchange, door)
-        self._lines = Front("lines", clients.handle, door, turn_away=clients.turn_away)
-        self._channels = Front("channels", ChannelClients(self._exchange, door).handle, door)
+        lines = Front("lines", clients.handle, door, turn_away=clients.turn_away)
+        channels = Front("channels", ChannelClients(self._exchange, door).handle, door)
         # Guards operators against crowds of clients: callers have descriptors of their own.
         callers = Door(clock, Budget(MGMT_MOST + 1, 0), part=1)
         path = state_path(config.state, config.name)
         self._cordons = Cordons(path, self._exchange.cordon)
         extras = {"rebalance": self._rebalancer.answer}
         calls = HttpCalls(Calls(self._exchange, self._cordons, self._lacking, extras).answer, callers)
-        self._mgmt = Front("management", calls.handle, callers, MGMT_TURN)
+        management = Front("management", calls.handle, callers, MGMT_TURN)
+        self._listening = Listening(config, clock, lines, channels, management, self._may_accept)
         self._versions = Versions(path)
         for budget in (self._budget, callers.budget):
             budget.changed = lambda: self._versions.tell_held(self._budget.used + callers.budget.used)
@@ -136,7 +121,7 @@
         self._cordons.look()
         with anyio.open_signal_receiver(*signums) as signals:
             # Guards who comes at once against a signal that nobody obeys yet: its default ends the process.
-            listeners = await waited_out(lambda: self._bind(self._config), self._clock)
+            listeners = await waited_out(lambda: self._listening.bind(self._config), self._clock)
             self._name_absent()
             async with anyio.create_task_group() as tasks:
                 self._tasks = tasks
@@ -148,7 +133,7 @@
                     self._start_rebalancing()
                 tasks.start_soon(self._watch_versions)
                 async with anyio.create_task_group() as self._connections:
-                    self._listen(listeners)
+                    self._listening.listen(self._config, listeners, tasks, self._connections)
                     await self._obey(signals)
                     self._connections.cancel_scope.cancel()
                 tasks.cancel_scope.cancel()
@@ -215,11 +200,8 @@
 
         Guards a request that crosses the end of the process against a close over it, unread.
         """
-        fronts = (self._lines, self._channels)
-        for front in fronts:
-            if front.scope is not None:
-                front.scope.cancel()
-        door = self._lines.door  # both fronts have the same
+        self._listening.stop()
+        door = self._listening.lines.door  # both fronts have the same
         now = self._clock.now()
         close_at = max(self._budget.close_at, now + LAST_WORDS)  # guards the answers where the loop is late
         self._budget.close_at = close_at
@@ -227,7 +209,7 @@
             while True:
                 door.dismiss()
                 await self._clock.sleep(LAST_LOOK)
-                if not (door.connections or any(front.listeners for front in fronts)):
+                if self._listening.ended and not door.connections:
                     break
 
     # Versions
@@ -246,40 +228,26 @@
         """Whether this process is leaving and a later version is there: then that one alone accepts."""
         if not (self._draining and self._versions.succeeded):
             return False
-        for front in (self._lines, self._channels):
-            if front.scope is not None and not front.scope.cancel_called:
+        for front in self._listening.fronts:
+            if front.stop():
                 log.info("succeeded", extra={"front": front.name})
-                front.scope.cancel()
         return True
 
-    async def _accept(self, front: Front, listener: socket.socket, scope: anyio.CancelScope) -> None:
-        """Accept at a front, beside an earlier version only once this one can serve."""
-        shared = self._from_platform(front, front.address)
-        if front is not self._mgmt:
-            while self._versions.succeeding and not (self._exchange.informed or scope.cancel_called):
-                await self._clock.sleep(LOOK)
-        front.listeners += 1
-        given = (listener, front.handle, front.door, self._connections, scope, front.turn, shared)
-        try:
-            await accept_all(*given, front.turn_away)
-        finally:
-            front.listeners -= 1
-
-    # Listening
-
-    def _wanted(self, config: Config) -> list[tuple[Front, tuple[str, int] | None]]:
-        return [(self._lines, config.listen), (self._channels, config.channels), (self._mgmt, config.mgmt)]
+    def _may_accept(self) -> bool:
+        """Whether clients are accepted: beside an earlier version only once this one can serve."""
+        return self._exchange.informed or not self._versions.succeeding
 
     def _lacking(self) -> str:
         """What this process lacks to serve; nothing where it is ready."""
         lack = ""
+        lines = self._listening.lines
         if not self._exchange.informed:
             lack = "no machine list yet"
         elif not self._cordons.in_force:
             lack = "the cordons cannot be read"
-        elif not self._lines.listeners or self._lines.scope is None:
+        elif not lines.listeners or lines.scope is None:
             lack = "not listening yet"
-        elif not self._exchange.serving or self._lines.scope.cancel_called:
+        elif not self._exchange.serving or lines.scope.cancel_called:
             lack = "leaving"
         elif self._versions.succeeding and self._clock.now() < self._started + HAND_OVER:
             lack = "an earlier version has not handed over yet"
@@ -292,43 +260,6 @@
         self._versions.tell_ready(ready)
         return lack
 
-    def _bind(self, config: Config) -> list[tuple[Front, socket.socket]]:
-        """Listeners where a front's address is new; raises OSError, and then none is left open."""
-        made: list[tuple[Front, socket.socket]] = []
-        try:
-            for front, address in self._wanted(config):
-                if address is not None and address != front.address:
-                    made.append((front, self._bind_one(front, address)))
-        except OSError:
-            for _, listener in made:
-                listener.close()
-            raise
-        return made
-
-    def _from_platform(self, front: Front, address: tuple[str, int] | None) -> bool:
-        """Whether the platform holds the listening socket there."""
-        return self._config.socket_fd is not None and front is self._lines and address == self._home
-
-    def _bind_one(self, front: Front, address: tuple[str, int]) -> socket.socket:
-        if self._from_platform(front, address):
-            assert self._config.socket_fd is not None
-            return inherited(self._config.socket_fd)
-        return bind(address, beside=front is self._channels and self._config.socket_fd is not None)
-
-    def _listen(self, made: list[tuple[Front, socket.socket]]) -> None:
-        """Listen at the new addresses and no longer at those that are not wanted."""
-        for front, address in self._wanted(self._config):
-            if address != front.address:
-                front.address = address
-                if front.scope is not None:
-                    front.scope.cancel()
-                front.scope = anyio.CancelScope()
-        for front, listener in made:
-            assert front.scope is not None
-            self._tasks.start_soon(self._accept, front, listener, front.scope)
-            told = {"balancer": self._config.name, "front": front.name, "listen": local_address(listener)}
-            log.info("serving", extra=told)
-
     # A new configuration
 
     async def _reload(self, number: int) -> None:
@@ -337,11 +268,11 @@
         `number` counts the signals for it: the last one reads the newest file, and those before give way.
         """
 
-        def made() -> tuple[Config, list[tuple[Front, socket.socket]]] | None:
+        def made() -> tuple[Config, Bound] | None:
             if number != self._reloads:
                 return None
             config = self._load()
-            return config, self._bind(config)
+            return config, self._listening.bind(config)
 
         try:
             loaded = await waited_out(made, self._clock)
@@ -352,7 +283,7 @@
         finally:
             self._reloading -= 1
 
-    def _take_config(self, config: Config, made: list[tuple[Front, socket.socket]]) -> None:
+    def _take_config(self, config: Config, made: Bound) -> None:
         """Go by a configuration whose new addresses are bound."""
         old, self._config = self._config, config
         if config.operators.state != old.operators.state:
@@ -370,7 +301,7 @@
         self._channel_servers.connect_timeout = config.settings.connect_timeout
         if config.discovery is not None:
             self._list.move(config.discovery, changed=config.discovery != old.discovery)
-        self._listen(made)
+        self._listening.listen(config, made, self._tasks, self._connections)
         self._name_absent()
         log.info("reloaded", extra={"balancer": config.name})
 
