Close no connection before its last answer while there is time to the kill

Symptom: beside load (13 on 8 cores), at a deadline of 1 ms, 4 of 12 clients of each kind on the channel front got a bare FIN at 0.5 s, 0.2 s before the kill. Cause: the close came at 50 ms after the first of the last answers however late the loop was, and a farewell had no time at all past the close; so it cut off answers not yet written. Change: at the close whatever has been answered is closed, as before; the process waits on for those who have not been, to 50 ms before the kill (ShutdownPlan.last_at). A farewell has 20 ms at least. Channel connections whose peers leave channels open are ended 50 ms before the close, so that they wait for nobody. Why it holds: the close is by what was told to each connection (Wire.ending), not by a guess of how long that takes. Ruled out: a longer time in all cases: a hold-up of 0.15 s at the close has to fit.

--- a/puffinford/core/shutdown.py
+++ b/puffinford/core/shutdown.py
@@ -18,6 +18,7 @@
 LAST_ANSWERS = 400.0  # ms between the last answers and the close, in which peers end their side
 HELD_UP = 150.0  # ms that the process may be held up just before it would close
 CLOSING = 100.0  # ms for the closes themselves, on a part of a core
+LAST_CLOSES = 50.0  # ms for these where the process is so late that the close waits for its last answers
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +27,8 @@
 
     move_from: float  # standing connections are moved from then on, evenly ...
     answer_at: float  # ... until all have been; then whoever asks, rests or is half way is answered and ended
-    close_at: float  # whatever its peer has not ended is closed, and the process ends
+    close_at: float  # what has been answered and its peer has not ended is closed, and the process ends ...
+    last_at: float  # ... where all have been answered by then; else it waits for them until here
     kill_at: float  # the platform may kill
 
 
@@ -40,4 +42,4 @@
     close_at = kill_at - HELD_UP - CLOSING
     answer_at = max(ARRIVALS, close_at - LAST_ANSWERS)
     move_from = 0.0 if succeeded else min(MOVE_FROM, answer_at)
-    return ShutdownPlan(move_from, answer_at, close_at, kill_at)
+    return ShutdownPlan(move_from, answer_at, close_at, kill_at - LAST_CLOSES, kill_at)
--- a/puffinford/fronts/accepting.py
+++ b/puffinford/fronts/accepting.py
@@ -57,7 +57,8 @@
         self.budget = budget
         self._part = part
         self._waiting: dict[object, anyio.CancelScope] = {}
-        self.connections = 0  # that were let in and have not ended
+        self._sessions: set[anyio.CancelScope] = set()
+        self._served: set[Wire] = set()
         self.dismissed = False  # the process ends: nobody is waited for any more
 
     @contextmanager
@@ -74,6 +75,39 @@
             finally:
                 del self._waiting[token]
 
+    @contextmanager
+    def serving(self, wire: Wire) -> Iterator[None]:
+        """A connection that was let in, until it has ended."""
+        self._served.add(wire)
+        try:
+            yield
+        finally:
+            self._served.discard(wire)
+
+    @property
+    def empty(self) -> bool:
+        """Whether every connection that was let in has ended."""
+        return not self._served
+
+    @property
+    def answered(self) -> bool:
+        """Whether all that are still open have been told all that they will be."""
+        return all(wire.ending for wire in self._served)
+
+    @contextmanager
+    def session(self, scope: anyio.CancelScope) -> Iterator[None]:
+        """A connection that carries many requests, and ends in order where `scope` is cancelled."""
+        self._sessions.add(scope)
+        try:
+            yield
+        finally:
+            self._sessions.discard(scope)
+
+    def end_sessions(self) -> None:
+        """End the sessions that are open, whatever their peers owe yet."""
+        for scope in list(self._sessions):
+            scope.cancel()
+
     def dismiss(self) -> None:
         """Send everybody away who has not asked: each is answered, and its connection ended."""
         self.dismissed = True
@@ -144,14 +178,13 @@
     lacks = 0  # accepts in a row that failed for what this machine lacks
 
     async def guarded(wire: Wire, handle: Handler = handle) -> None:
-        door.connections += 1
-        try:
-            await handle(wire)
-        except Exception:
-            log.exception("connection failed")
-        finally:
-            wire.close()
-            door.connections -= 1
+        with door.serving(wire):
+            try:
+                await handle(wire)
+            except Exception:
+                log.exception("connection failed")
+            finally:
+                wire.close()
 
     async def answered(wire: Wire) -> None:
         nonlocal turned
--- a/puffinford/fronts/channels/mux.py
+++ b/puffinford/fronts/channels/mux.py
@@ -262,7 +262,7 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._write)
-                with self._reading:
+                with self._reading, self._session():
                     fault = await self._read()
                 tasks.cancel_scope.cancel()
         finally:
@@ -348,6 +348,10 @@
         except (Ended, Broken):
             return None
 
+    def _session(self) -> contextlib.AbstractContextManager[None]:
+        """Where the end of the process ends this connection, whatever channels its peer leaves open."""
+        return contextlib.nullcontext() if self._door is None else self._door.session(self._reading)
+
     @property
     def _dismissed(self) -> bool:
         return self._door is not None and self._door.dismissed
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -33,7 +33,8 @@
 LINGER_READ = 65_536  # at a time
 LINGER_PART = 16  # such connections may hold this part of the descriptors, one of sixteen ...
 LINGER_LEAST = 8  # ... or so many; and they give way to newcomers first
-LAST_MOST = 500.0  # for a peer to take the last piece of a connection
+LAST_MOST = 500.0  # for a peer to take the last piece of a connection ...
+LAST_LEAST = 20.0  # ... and the least, however little is left before the process closes it
 CATCH_UP = 4  # turns of the loop in which what has arrived is read, before a peer counts as still there
 RESERVE = 32  # descriptors for discovery, the listeners, the program's own files and a turn of accepting
 MGMT_MOST = 16  # descriptors that callers of the second address may hold; no client ever gets them
@@ -105,7 +106,7 @@
 
     def patience(self, most: float, now: float) -> float:
         """How many ms a peer may take for its part of an end: `most`, or less where the process ends."""
-        return min(most, self.close_at - now)
+        return min(most, max(LAST_LEAST, self.close_at - now))
 
     @property
     def lingering(self) -> int:
@@ -133,6 +134,7 @@
         self._lock = anyio.Lock(fast_acquire=True)
         self._cut = b""  # the rest of a piece whose writing was cancelled
         self._closed = False
+        self.ending = False  # its peer has been told all that it will be
         budget.take()
 
     async def read(self, most: int = READ_MOST) -> bytes:
@@ -226,6 +228,7 @@
         Guards against the RST that a close over unread bytes sends: it would overtake the last line. Bounded
         in time, in bytes and, over all connections, in number.
         """
+        self.ending = True
         try:
             held = contextlib.suppress(Ended, Broken)
             patience = self._budget.patience(LINGER, self.clock.now())
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -39,7 +39,7 @@
 
 LOOK = 50.0  # ms between looks for other versions of this balancer
 LAST_LOOK = 10.0  # ms between looks for connections that have not ended, at the end of the process
-LAST_WORDS = 50.0  # ms that those are given at least, however late the loop is
+LAST_WORDS = 50.0  # ms before the close in which channel connections end that still have channels
 SIGNALS_TOGETHER = 20.0  # ms in which signals that were sent in a row may be seen in another order
 RELOAD_MOST = 200.0  # ms that the end waits for a configuration that was told before it
 HAND_OVER = 300.0  # in which an earlier version sees this one, and writes what it has learned
@@ -192,25 +192,27 @@
             self._keeper.let_go()
         settle = max(0.0, told + plan.move_from - self._clock.now())
         await self._exchange.drain(settle, told + plan.answer_at - self._clock.now() - settle)
-        await self._end_connections()
+        await self._end_connections(told + plan.last_at)
         self._connections.cancel_scope.cancel()
 
-    async def _end_connections(self) -> None:
+    async def _end_connections(self, last: float) -> None:
         """Listen no more, answer those who wait or rest, and let the last ends arrive by the close.
 
-        Guards a request that crosses the end of the process against a close over it, unread.
+        Guards a request that crosses the end of the process against a close over it, unread. `last` is when
+        even those are closed that have no answer yet, on the clock.
         """
         self._listening.stop()
         door = self._listening.lines.door  # both fronts have the same
-        now = self._clock.now()
-        close_at = max(self._budget.close_at, now + LAST_WORDS)  # guards the answers where the loop is late
-        self._budget.close_at = close_at
-        with self._clock.limit(close_at - now):
-            while True:
-                door.dismiss()
-                await self._clock.sleep(LAST_LOOK)
-                if self._listening.ended and not door.connections:
-                    break
+        close_at = self._budget.close_at
+        while (now := self._clock.now()) < last:
+            door.dismiss()
+            if now >= close_at - LAST_WORDS:
+                door.end_sessions()
+            if self._listening.ended and door.empty:
+                break
+            if now >= close_at and door.answered:
+                break
+            await self._clock.sleep(LAST_LOOK)
 
     # Versions
 
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -59,12 +59,12 @@
             if answers[-1] == b"UP":
                 assert await client.line() == b"MOVE\r\n"
             assert await client.line() == b"FIN"
+            assert anyio.current_time() < told + 2.7
 
         async with anyio.create_task_group() as tasks:
             for number, client in enumerate(clients):
                 tasks.start_soon(cross, client, number)
         assert await here.running.process.wait() == 0
-        assert anyio.current_time() < told + 2.7
         assert set(answers) <= {b"UP", b"BUSY", b"ERR"}, answers
 
 
