--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import re
 import signal
 from collections import Counter
 from pathlib import Path
@@ -15,7 +16,7 @@
 from puffinford.standins.discovery import Discovery
 from puffinford.standins.trace import Trace
 from tests.processes import Site, site
-from tests.stage import Peer, opening
+from tests.stage import Peer, call, opening
 
 pytestmark = pytest.mark.anyio
 
@@ -256,3 +257,50 @@
             with anyio.fail_after(5.0):
                 await here.running.logged(b'event="reload failed"')
             assert await here.crowd(1, place) == {"UP": 1}
+
+
+COLD_BUDGET = (
+    8  # what a cold server may get in a second: 1.7 allowed at its start, with 3 x root + 3 for chance
+)
+
+
+async def test_a_server_whose_cordon_is_taken_back_is_cold_for_every_client(tmp_path: Path) -> None:
+    """Operators restart it meanwhile; no list tells of that, and sixty clients come within the second."""
+    async with site(tmp_path, count=3) as here:
+        found = re.search(rb"event=serving .*front=management .*:(\d+)", here.running.heard)
+        assert found is not None
+        address = int(found[1])
+        await here.crowd(30, "a")
+        assert here.openings["s-1"] > 0
+        assert (await call(address, "POST /admin/cordon/s-1"))[0] == 200
+        out = here.openings["s-1"]
+        await here.crowd(30, "b")
+        assert here.openings["s-1"] == out, "nothing new while it is out"
+        assert (await call(address, "POST /admin/uncordon/s-1"))[0] == 200
+        back = anyio.current_time()
+        while anyio.current_time() < back + 0.9:
+            assert (await here.crowd(1, f"c{sum(here.openings.values())}-"))["UP"] == 1
+        assert 0 <= here.openings["s-1"] - out <= COLD_BUDGET
+        with anyio.fail_after(5.0):  # unused for 5 s after the call back costs
+            while here.openings["s-1"] == out:
+                await here.crowd(1, f"d{sum(here.openings.values())}-")
+
+
+SERVERS_MOST = 3_200
+READY = 6.0  # seconds, of the shorter days; no start may take over 30
+
+
+async def test_a_process_starts_in_time_among_as_many_servers_as_there_may_be(tmp_path: Path) -> None:
+    """From nothing and from its store; its loop is never busy for long."""
+    async with site(tmp_path) as here:
+        for number in range(SERVERS_MOST - 2):
+            # Draining, so that its clients come to the two that are there.
+            here.lists.registry.put(f"x-{number}", addr="127.0.0.1:9", state="leaving")
+        for _ in range(2):
+            await here.restart(0.0)
+            with anyio.fail_after(READY):
+                while (await here.crowd(1, f"{anyio.current_time()}-"))["UP"] < 1:
+                    await anyio.sleep(0.05)
+            await here.running.logged(b"event=machines")
+            await here.kept()
+        assert not re.search(rb"event=stalled ms=(\d{4,})", here.running.heard), "a second and more"
