--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -15,7 +15,7 @@
 from puffinford.core.clock import Clock
 from puffinford.standins.discovery import Discovery
 from puffinford.standins.trace import Trace
-from tests.processes import Site, site
+from tests.processes import SETTINGS, Site, site
 from tests.stage import Peer, call, opening
 
 pytestmark = pytest.mark.anyio
@@ -280,10 +280,12 @@
         back = anyio.current_time()
         while anyio.current_time() < back + 0.9:
             assert (await here.crowd(1, f"c{sum(here.openings.values())}-"))["UP"] == 1
+            await anyio.sleep(0.01)  # the log of thousands would fill its pipe, which nobody reads here
         assert 0 <= here.openings["s-1"] - out <= COLD_BUDGET
         with anyio.fail_after(5.0):  # unused for 5 s after the call back costs
             while here.openings["s-1"] == out:
                 await here.crowd(1, f"d{sum(here.openings.values())}-")
+                await anyio.sleep(0.01)
 
 
 SERVERS_MOST = 3_200
@@ -304,3 +306,19 @@
             await here.running.logged(b"event=machines")
             await here.kept()
         assert not re.search(rb"event=stalled ms=(\d{4,})", here.running.heard), "a second and more"
+
+
+async def test_a_drain_grace_of_a_second_is_kept_from_the_moment_it_is_told(tmp_path: Path) -> None:
+    """Another customer's settings; clients come all the while."""
+    rules = {**SETTINGS["rules"], "stop_sending_within": 1_000.0}
+    async with site(tmp_path, count=3, rules=rules) as here:
+        await here.crowd(30, "a")
+        for ident in ("s-1", "s-2"):
+            here.lists.put(ident, state="leaving")
+            told = anyio.current_time()
+            while anyio.current_time() < told + 1.0:
+                await here.crowd(1, f"{ident}-{anyio.current_time()}-")
+                await anyio.sleep(0.02)  # as above
+            late = here.openings[ident]
+            assert (await here.crowd(40, f"{ident}-late-"))["UP"] == 40
+            assert here.openings[ident] == late
