--- a/puffinford/core/relaying.py
+++ b/puffinford/core/relaying.py
@@ -11,7 +11,7 @@
 from puffinford.core.requests import ClientRequest, Ending, ServerAttempt
 from puffinford.core.values import Broken, Ended, Failed, Kind, Leg, Message, Up
 
-HALF_CLOSED = 500.0  # how long a client that ended may still hear its server; the rules allow 1 s in all
+HALF_CLOSED = 800.0  # ms in which a client that ended may still hear its server; the rules allow 1 s in all
 
 
 class Relay:
