Show that an old version ends what rests before the kill beside its successor

Need: a hard case of the held connections: a later version accepts already, and moves begin at once. 24 clients at rest ask at any moment from SIGTERM until 20 ms after the kill. Ruled out: a fault of its own: the plan of the end is the same.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import signal
@@ -139,3 +140,53 @@
     old.look()
     assert (old.held_elsewhere, old.succeeded) == (0, False)
     assert door.make_room()
+
+
+@pytest.mark.anyio
+async def test_an_old_version_ends_what_rests_before_the_earliest_kill(tmp_path: Path) -> None:
+    """Beside its successor too: who rests asks at any moment from SIGTERM until past the kill at 1.1 s."""
+    config, state = tmp_path / "config.json", tmp_path / "state"
+    state.mkdir()
+    platform = socket.create_server(("127.0.0.1", 0))
+    port, fd = platform.getsockname()[1], platform.fileno()
+    async with stage() as here:
+        server = {"id": "s-1", "addr": f"127.0.0.1:{await here.listen(lambda s: echo(Peer(s)))}"}
+        told = {
+            "listen": f"127.0.0.1:{port}",
+            "discovery": f"127.0.0.1:{await here.listen(discovery([], server))}",
+        }
+        config.write_text(json.dumps({**told, "settings": FACTS}))
+        env = {"TMPDIR": str(state), "EDGE_SOCKET_FD": str(fd), "EDGE_MGMT": "127.0.0.1:0"}
+        async with program(config, fds=[fd], **env) as old:
+            await old.logged(b"list=replace")
+            resting = [Peer(await anyio.connect_tcp("127.0.0.1", port)) for _ in range(24)]
+            for peer in resting:
+                await peer.say(b"PING")
+                assert await peer.line() == b"PONG\r\n"
+            async with program(config, fds=[fd], **env) as new:
+                address = await new.port(b"management")
+                while (await call(address, "GET /admin/health"))[0] != 200:
+                    await anyio.sleep(0.01)
+                old.process.send_signal(signal.SIGTERM)
+                kill = anyio.current_time() + FACTS["classes"][0]["give_up"] / 1_000.0 + 0.7
+
+                async def ask(peer: Peer, number: int) -> None:
+                    await anyio.sleep_until(kill + 0.02 - 1.1 * number / len(resting))
+                    with contextlib.suppress(anyio.BrokenResourceError):
+                        await peer.say(opening(f"0{number}"))
+
+                async def hear(peer: Peer) -> None:
+                    answer = (await peer.line()).split()[0]
+                    assert answer in (b"UP", b"BUSY", b"ERR")
+                    if answer == b"UP":
+                        assert await peer.line() == b"MOVE\r\n"
+                    assert await peer.line() == b"FIN"
+                    assert anyio.current_time() < kill
+
+                async with anyio.create_task_group() as tasks:
+                    for number, peer in enumerate(resting):
+                        tasks.start_soon(hear, peer)
+                        tasks.start_soon(ask, peer, number)
+                new.process.kill()
+            assert await old.process.wait() == 0
+    platform.close()
