Hold a balancer's ports for the length of a play, so that plays side by side share none

Cause: free_port looks whether a port is free, and nobody holds it until the process listens; another play may draw it meanwhile. A third port for the channel front made that likelier. Change: BalancerProcess holds its ports by bound sockets that do not listen, until its end. Linux lets the process listen there, for both allow reuse; connections are refused until it does.

--- a/puffinford/standins/balancer.py
+++ b/puffinford/standins/balancer.py
@@ -86,6 +86,22 @@
             return port
 
 
+def reserve_port() -> socket.socket:
+    """A port as `free_port` gives it, held until the socket is closed; a listener may still bind there.
+
+    Guards a start against another play on this machine that draws the same port before anybody listens.
+    """
+    while True:
+        held = socket.socket()
+        try:
+            held.bind((HOST, free_port()))
+        except OSError:
+            held.close()
+            continue
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return held
+
+
 class BalancerProcess:
     """One balancer under a name and an address that it keeps over restarts. Its log is in `directory`."""
 
@@ -108,9 +124,10 @@
         """
         self._env = dict(env or {})
         self.name = name
-        self.port = free_port()
-        self.mgmt = free_port()
-        self.channel_port = free_port() if channels else 0
+        self._reserved = [reserve_port() for _ in range(3 if channels else 2)]
+        ports = [int(held.getsockname()[1]) for held in self._reserved]
+        self.port, self.mgmt = ports[:2]
+        self.channel_port = ports[2] if channels else 0
         if channels:
             operators += f"\nsection channels\n enabled on\n listen {HOST}:{self.channel_port}\n"
         self.directory = directory
@@ -188,7 +205,9 @@
             self._process.send_signal(signum)
 
     def stop(self) -> None:
-        """End it, at once if need be."""
+        """End it, at once if need be, and give its ports back."""
+        for held in self._reserved:
+            held.close()
         if self._process is None:
             return
         self.signal(signal.SIGCONT)  # one that is frozen hears nothing else
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -16,6 +17,7 @@
 from puffinford.stage.report import Report, rules
 from puffinford.stage.script import BadScript, read_script
 from puffinford.standins import checks
+from puffinford.standins.balancer import reserve_port
 from puffinford.standins.discovery import Discovery, Registry
 from puffinford.standins.listeners import HOST, Lines, reset
 from puffinford.standins.servers import LineServer, Make
@@ -247,6 +249,19 @@
     assert checks.moves_said(trace) == []
 
 
+def test_a_reserved_port_is_given_to_no_other_play_and_can_be_listened_at() -> None:
+    """The soak's seed 546 beside three others was not played: another play had drawn n4's port as well."""
+    with reserve_port() as held:
+        address = held.getsockname()
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind(address)
+        with socket.socket() as early, pytest.raises(ConnectionRefusedError):
+            early.connect(address)
+        for _ in range(2):  # a process that is started again listens anew
+            with socket.create_server(address):
+                socket.create_connection(address).close()
+
+
 def test_a_play_of_seconds_keeps_the_rules(tmp_path: Path) -> None:
     """The demo's fleet with a balancer that is killed and comes back, shortened."""
     script = read_script(SCRIPT)
