Draw idle crowds at balancers whose standing clients hold a third of the descriptors

Cause: the story. It gave each of two balancers 256 descriptors; with one being ended the other had 203 of 204 taken by clients that stood (`no room open=203 limit=256`), and newcomers past eight at a time were closed. Change: a crowded story gives each balancer six descriptors for each client that may stand there, 256 at least; where that passes 768 no crowd is drawn. The crowd is 1.5 times as many. Ruled out: the crowd: n2 had none.

--- a/puffinford/stage/soak.py
+++ b/puffinford/stage/soak.py
@@ -20,8 +20,9 @@
 RATE_LEAST = 30.0  # ... so many in all, ...
 RATE_MOST = 60.0  # ... and no more
 BURST = 2.0  # times the rate in stories with a burst
-CROWD = 400  # idle clients that come to a balancer at once ...
-CROWDED_SOCKETS = 256  # ... which may hold so many descriptors then
+CROWDED_SOCKETS = (256, 768)  # descriptors of a balancer that a crowd comes to: at least, at most
+CROWD = 1.5  # idle clients that come at once, for each of these
+EACH_SOCKETS = 6  # of these for each client that stands: clients hold a third, each with its server's
 EFFECTS = ("idempotent", "at_most_once", "deduplicated")
 LATE_MOST = 100.0  # ms; with a loop later than this, clients that ran out of time say nothing
 GRACE = 3_000.0  # ms after which nothing new goes to a server that drains, as the settings tell it
@@ -61,20 +62,25 @@
     """
     told["holding"] = rng.choice([1, 2])
     told["channels"] = rng.random() < 0.5
-    if rng.random() < 0.3:
+    crowded = rng.random() < 0.4
+    least, most = CROWDED_SOCKETS
+    sockets = max(least, round(EACH_SOCKETS * _standing(told)))
+    if crowded and sockets <= most:
         end = next(event for event in told["events"] if event["do"] == "end")
         at = max(0.0, end["at"] - rng.uniform(0.0, 1.0))
-        told["sockets"] = CROWDED_SOCKETS
-        crowd = {
-            "at": at,
-            "balancers": "n*",
-            "part": 0.3,
-            "do": f"crowd {CROWD}",
-            "for": rng.uniform(1.0, 4.0),
-        }
+        told["sockets"] = sockets
+        do = f"crowd {round(CROWD * sockets)}"
+        crowd = {"at": at, "balancers": "n*", "part": 0.3, "do": do, "for": rng.uniform(1.0, 4.0)}
         told["events"].append(crowd)
 
 
+def _standing(told: dict[str, Any]) -> float:
+    """Clients that stand at a balancer while half of the others, or the other one, are being restarted."""
+    lives = [min(cls["life"] / 1_000.0, SECONDS) for cls in told["classes"].values()]
+    serving = max(1.0, told["balancers"] / 2.0)
+    return float(told["rate"] * sum(lives) / len(lives) / serving)
+
+
 def _class(rng: random.Random) -> dict[str, Any]:
     return {
         "give_up": rng.choice([400, 800, 2_000, 3_000, 4_500]),
