Let the stories of the two listed failures tell their cause and evidence

Need: a mended failure's story says what happens, why, and what showed it. Ruled out: moving the stories.

--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -79,7 +79,13 @@
 
 
 async def test_a_connection_that_rests_is_ended_in_order_before_the_earliest_kill(tmp_path: Path) -> None:
-    """It is held to the kill: a request that is written to it in the last milliseconds is lost."""
+    """It is held to the kill: a request that is written to it in the last milliseconds is lost.
+
+    The drain counted from SIGTERM, but whoever rested was then held for 10 s more, on a clock that began at
+    the drain's end and knew no kill. The log of such a process ends with `event=drained` 0.45 s after
+    `stopping`; the kill came 0.75 s later, and a request written 1 ms before it got RST in five plays of
+    seven, FIN in two.
+    """
     classes = [{"name": "price-lookup", "give_up": 500.0, "repeat": "idempotent"}]
     async with site(tmp_path, classes=classes) as here:
         client = Peer(await anyio.connect_tcp("127.0.0.1", here.port))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -45,7 +45,12 @@
 def test_processes_keep_the_rules_while_system_calls_fail_and_the_clock_steps(
     seed: int, tmp_path: Path
 ) -> None:
-    """The wall clock goes back an hour in the middle of the story, and then on by two."""
+    """The wall clock goes back an hour in the middle of the story, and then on by two.
+
+    Seed 21 lost a request in some plays, after 5 ms with RST and in no log: its client rested on a connection
+    that its balancer held to the kill. With all clients at rest first 3 plays of 12 lost such requests, one
+    written 0.9 ms before the kill; none of 12 did once the end of the process went by one plan.
+    """
     plan = Plan(tmp_path / "plan.json")
     steps = [threading.Timer(at, plan.tell, [step, *FAILING]) for at, step in ((4.0, -HOUR), (7.0, HOUR))]
     plan.tell(0.0, *FAILING, seed=seed)
