Keep a message that is passed to a stream until it is sent, cancelled or not

Callers saw the end of a channel connection with no MOVE, no refusal and no CLOSE before DISCONNECT, though the log has moved=True.

Cause: a message had no owner between the writer's queue and the socket. The writer of a multiplexer took messages out of `_queued_messages`, and TcpStream.write kept a cancelled message only from its first byte on: in a cancelled scope it raises at its lock. Messages that woke the writer in the pass of the event loop in which its connection was cancelled were in neither place when the final messages were put together.

Fix: the stream owns the data from the call of `write` on, and sends it before the next message, which is the last one that a connection always writes. The two cases of tests/test_final_messages.py that failed before (queued, then cancelled; turn 2) pass. A half-written batch, a write in a pause for a shortage, and a peer that reads nothing passed before and still do.

--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -141,7 +141,8 @@
         self.clock = clock
         self._budget = budget
         self._lock = anyio.Lock(fast_acquire=True)
-        self._unsent = b""  # the rest of a message whose write was cancelled
+        self._unsent = bytearray()  # passed to `write` and not sent yet
+        self.accepted_bytes = 0  # passed to `write` since the connection was opened
         self._closed = False
         self.is_closing = False  # the peer has been sent its last message
         budget.acquire()
@@ -203,25 +204,29 @@
             await checkpoint()
         return False
 
+    @property
+    def sent_bytes(self) -> int:
+        """How many of `accepted_bytes` the system has taken."""
+        return self.accepted_bytes - len(self._unsent)
+
     async def write(self, data: bytes) -> None:
         """Write a complete message; raises ConnectionBroken.
 
-        Prevents interleaved messages: the rest of a message whose write was cancelled is sent first.
+        Prevents lost and interleaved messages: the stream keeps what a cancelled call has not sent, and sends
+        it before the next message.
         """
+        self._unsent += data
+        self.accepted_bytes += len(data)
+        shortages = 0
         try:
             async with self._lock:
-                remaining = memoryview(self._unsent + data)
-                shortages = 0
-                try:
-                    while remaining:
-                        try:
-                            remaining = remaining[self._sock.send(remaining) :]
-                        except BlockingIOError:
-                            await anyio.wait_writable(self._sock)
-                        except OSError as exc:
-                            shortages = await self._pause_or_raise(exc, shortages)
-                finally:
-                    self._unsent = bytes(remaining)
+                while self._unsent:
+                    try:
+                        del self._unsent[: self._sock.send(self._unsent)]
+                    except BlockingIOError:
+                        await anyio.wait_writable(self._sock)
+                    except OSError as exc:
+                        shortages = await self._pause_or_raise(exc, shortages)
         except (OSError, ValueError, anyio.ClosedResourceError) as exc:
             raise ConnectionBroken(str(exc)) from None
 
--- /dev/null
+++ b/tests/test_final_messages.py
@@ -0,0 +1,153 @@
+"""The last messages of a channel connection reach its peer, wherever its end catches them."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+import anyio.abc
+import pytest
+
+from puffinford.core.clock import Clock
+from puffinford.fronts.channels import codec
+from puffinford.fronts.channels.multiplexer import Channel, Multiplexer
+from puffinford.fronts.sockets import FINAL_WRITE_TIMEOUT_MS, LINGER_TIMEOUT_MS, DescriptorBudget, TcpStream
+from tests.harness import ChannelPeer, echo, harness
+
+pytestmark = pytest.mark.anyio
+
+CHANNELS = (1, 2, 3)
+MOVED = Counter((kind, number) for number in CHANNELS for kind in ("ChannelRequest", "Close"))
+
+
+async def read_to_end(peer: ChannelPeer) -> tuple[Counter[tuple[str, int]], bytes]:
+    """Count the MOVE and CLOSE messages up to the end of the connection; return them and the end."""
+    seen: Counter[tuple[str, int]] = Counter()
+    while not isinstance(message := await peer.next(), bytes):
+        if isinstance(message, codec.ChannelRequest | codec.Close):
+            seen[type(message).__name__, message.recipient] += 1
+    return seen, message
+
+
+class FaultySocket(socket.socket):
+    """A socket whose `send` fails with ENOBUFS while `short`."""
+
+    short = False
+
+    def send(self, data: Any, flags: int = 0) -> int:
+        if self.short:
+            raise OSError(errno.ENOBUFS, "short")
+        return super().send(data, flags)
+
+
+@dataclass
+class Session:
+    """A running multiplexer with open channels, and its client."""
+
+    client: ChannelPeer
+    sock: FaultySocket
+    channels: list[Channel] = field(default_factory=list)
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    ended: anyio.Event = field(default_factory=anyio.Event)
+
+    def move(self, extra: bytes = b"") -> None:
+        """Queue MOVE and CLOSE on every channel."""
+        for channel in self.channels:
+            channel.send_request(codec.MOVE, extra)
+            channel.close()
+
+
+@asynccontextmanager
+async def session() -> AsyncIterator[Session]:
+    """Run a multiplexer on a socket pair, with CHANNELS opened by its client."""
+    near, far = socket.socketpair()
+    near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    stream = await anyio.abc.SocketStream.from_socket(far)
+    here = Session(ChannelPeer(stream), FaultySocket(fileno=near.detach()))
+
+    def on_open(channel: Channel, _message: codec.ChannelOpen) -> None:
+        here.channels.append(channel)
+        multiplexer.confirm(channel, b"")
+
+    clock = Clock()
+    tcp_stream = TcpStream(here.sock, clock, DescriptorBudget())
+    multiplexer = Multiplexer(tcp_stream, clock, is_client=False, on_open=on_open)
+
+    async def run() -> None:
+        with here.scope:
+            await multiplexer.run()
+        here.ended.set()
+
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(run)
+            await here.client.hello()
+            for number in CHANNELS:
+                await here.client.open(number, f"{number:x}")
+                assert isinstance(await here.client.next(), codec.OpenConfirmation)
+            yield here
+            await here.ended.wait()
+    await stream.aclose()
+
+
+@pytest.mark.parametrize("order", ["queued first", "cancelled first"])
+async def test_messages_queued_as_the_connection_is_cancelled_arrive(order: str) -> None:
+    """Guards against messages that the writer has taken from the queue when it is cancelled."""
+    async with session() as here:
+        if order == "cancelled first":
+            here.scope.cancel()
+        here.move()
+        here.scope.cancel()
+        assert await read_to_end(here.client) == (MOVED, b"FIN")
+
+
+async def test_messages_of_a_batch_that_is_half_written_arrive() -> None:
+    async with session() as here:
+        here.move(extra=bytes(30_000))
+        await anyio.wait_all_tasks_blocked()
+        here.scope.cancel()
+        await anyio.wait_all_tasks_blocked()
+        assert await read_to_end(here.client) == (MOVED, b"FIN")
+
+
+async def test_messages_whose_write_pauses_for_a_shortage_arrive() -> None:
+    async with session() as here:
+        here.sock.short = True
+        here.move()
+        await anyio.wait_all_tasks_blocked()
+        here.scope.cancel()
+        await anyio.wait_all_tasks_blocked()
+        here.sock.short = False
+        assert await read_to_end(here.client) == (MOVED, b"FIN")
+
+
+async def test_a_peer_that_reads_nothing_does_not_hold_up_the_end() -> None:
+    async with session() as here:
+        here.move(extra=bytes(30_000))
+        await anyio.wait_all_tasks_blocked()
+        here.scope.cancel()
+        with anyio.fail_after((FINAL_WRITE_TIMEOUT_MS + LINGER_TIMEOUT_MS) / 1_000.0 + 1.0):
+            await here.ended.wait()
+
+
+@pytest.mark.parametrize("turns", range(6))
+async def test_sessions_that_end_while_their_requests_are_moved_announce_it(turns: int) -> None:
+    """The sessions end some turns of the event loop after the drain, as with short deadlines."""
+    async with harness() as here:
+        await here.server("s-1", echo)
+        client = await here.channel_client()
+        for number in CHANNELS:
+            await client.open(number, f"{number:x}")
+        for _ in CHANNELS:
+            assert isinstance(await client.next(), codec.OpenConfirmation)
+        await here.exchange.drain(0.0, 0.0)
+        for _ in range(turns):
+            await anyio.sleep(0)
+        here.tracker.end_sessions()
+        assert await read_to_end(client) == (MOVED, b"FIN")
