End a channel session only once its requests have sent their last messages

Callers saw CLOSE and DISCONNECT with no MOVE, where data of theirs was still unread: at the end of the process a session was cut while its requests were about to be moved.

Cause: `end_sessions` cancelled the reading of each connection, whatever its channels were doing. With a deadline of 1 ms that is 1 ms after the drain, in the turns of the event loop in which the requests queue MOVE; with any deadline it stops the window adjustments that data before a MOVE waits for. What is queued once the final messages are put together has no writer.

Fix: the end of the process retires a session, as it was done already for connections to servers: it goes on until this end has closed every channel, then sends DISCONNECT, without waiting for the peer. The plan's latest close bounds it as before. A close that was sent now ends a retired connection at once, not only at the peer's next message.

A client of one channel with a window of four bytes, in tests/test_final_messages.py, got CLOSE in place of its data and MOVE before, each time, and has them now.

--- a/puffinford/fronts/accepting.py
+++ b/puffinford/fronts/accepting.py
@@ -61,7 +61,7 @@
         self.budget = budget
         self._idle_divisor = idle_divisor
         self._evictable: dict[object, anyio.CancelScope] = {}  # the longest idle first
-        self._sessions: set[anyio.CancelScope] = set()
+        self._sessions: set[Callable[[], None]] = set()  # each ends one session
         self._open_streams: set[TcpStream] = set()
         self.shutting_down = False
 
@@ -99,18 +99,18 @@
         return all(stream.is_closing for stream in self._open_streams)
 
     @contextmanager
-    def track_session(self, scope: anyio.CancelScope) -> Iterator[None]:
-        """Register a connection that carries many requests; cancelling `scope` closes it gracefully."""
-        self._sessions.add(scope)
+    def track_session(self, end: Callable[[], None]) -> Iterator[None]:
+        """Register a connection that carries many requests; `end` closes it once they have ended."""
+        self._sessions.add(end)
         try:
             yield
         finally:
-            self._sessions.discard(scope)
+            self._sessions.discard(end)
 
     def end_sessions(self) -> None:
-        """Close the open sessions without waiting for their peers."""
-        for scope in list(self._sessions):
-            scope.cancel()
+        """Close each open session as soon as its requests have ended, without waiting for its peer."""
+        for end in list(self._sessions):
+            end()
 
     def evict_all(self) -> None:
         """Evict every connection without a request, and mark the process as shutting down."""
--- a/puffinford/fronts/channels/multiplexer.py
+++ b/puffinford/fronts/channels/multiplexer.py
@@ -133,6 +133,7 @@
             self.multiplexer.enqueue(codec.Close(self.remote_id))
         self._changed.set()
         self._remove_if_closed()
+        self.multiplexer.stop_if_retired()
 
     async def wait_closed(self) -> None:
         """Wait for the peer's CLOSE, discarding its data."""
@@ -370,12 +371,8 @@
             return None
 
     def _session(self) -> contextlib.AbstractContextManager[None]:
-        """Register the connection to be closed at shutdown, whatever channels are open."""
-        return (
-            contextlib.nullcontext()
-            if self._tracker is None
-            else self._tracker.track_session(self._read_scope)
-        )
+        """Register the connection to be closed at shutdown, when its requests have ended."""
+        return contextlib.nullcontext() if self._tracker is None else self._tracker.track_session(self.retire)
 
     @property
     def _shutting_down(self) -> bool:
@@ -494,14 +491,15 @@
         self._channels.pop(channel.local_id, None)
         if channel.remote_id is not None and self._peer_channels.get(channel.remote_id) is channel:
             del self._peer_channels[channel.remote_id]
-        self._stop_if_retired()
+        self.stop_if_retired()
 
     def retire(self) -> None:
-        """Close the connection once its channels are closed; callers open no more."""
+        """Close the connection once this end has closed all channels; its own callers open no more."""
         self._retired = True
-        self._stop_if_retired()
+        self.stop_if_retired()
 
-    def _stop_if_retired(self) -> None:
+    def stop_if_retired(self) -> None:
+        """Close the connection if it is retired and no channel has anything left to send."""
         if self._retired and all(
             channel.cancelled or channel.close_sent for channel in self._channels.values()
         ):
@@ -563,7 +561,7 @@
             return
         channel.cancelled = True
         self.enqueue(codec.GlobalRequest(codec.CANCEL, False, codec.uint32(channel.local_id)))
-        self._stop_if_retired()
+        self.stop_if_retired()
 
     # Writing
 
--- a/tests/test_final_messages.py
+++ b/tests/test_final_messages.py
@@ -151,3 +151,22 @@
             await anyio.sleep(0)
         here.tracker.end_sessions()
         assert await read_to_end(client) == (MOVED, b"FIN")
+
+
+async def test_a_session_ends_after_the_last_message_of_a_client_that_reads_slowly() -> None:
+    """Guards against a session that is closed while MOVE waits for the data before it."""
+    async with harness() as here:
+        await here.server("s-1", echo)
+        client = await here.channel_client()
+        await client.open(1, "1", window=4)
+        up = await client.next()
+        assert isinstance(up, codec.OpenConfirmation)
+        await client.send_messages(codec.Data(up.sender, b"line\r\n"))
+        assert await client.next() == codec.Data(1, b"line")
+        await here.exchange.drain(0.0, 0.0)
+        await here.settle()
+        here.tracker.end_sessions()
+        await here.settle()
+        await client.send_messages(codec.WindowAdjust(up.sender, 100))
+        assert await client.next() == codec.Data(1, b"\r\n")
+        assert await read_to_end(client) == (Counter({("ChannelRequest", 1): 1, ("Close", 1): 1}), b"FIN")
