Send no queued open at the end of a server's connection, and count what was sent

Servers could run a request twice, or run one that its client was told may safely be tried again: the open reached the first server with the last bytes of its connection, while the attempt counted as never sent.

Cause: the final messages of a connection included the opens that were still queued, and nothing marked them as sent.

Fix: opens still queued are withdrawn at the end, and each open that was passed to the stream is known by its last byte, so that it counts as sent exactly when that byte was taken by the system. The final messages come from the same function as the writer's batches; so data that the peer's window allows is no longer left out of them.

--- a/puffinford/fronts/channels/multiplexer.py
+++ b/puffinford/fronts/channels/multiplexer.py
@@ -266,7 +266,9 @@
         self._channels: dict[int, Channel] = {}
         self._peer_channels: dict[int, Channel] = {}  # those that the peer opened, by its numbers
         self._next_id = 0
-        self._queued_messages: deque[codec.Message | Channel] = deque()
+        self._queued_messages: deque[codec.Message] = deque()
+        # Opens passed to the stream: each with the stream's `accepted_bytes` at its end.
+        self._opens_in_write: deque[tuple[int, Channel]] = deque()
         self._writable_channels: deque[Channel] = deque()
         self._work_available = anyio.Event()
         self.ready = anyio.Event()  # set when the peer's version has arrived or the connection closed
@@ -298,8 +300,14 @@
     async def _send_final_messages(
         self, error: codec.MalformedMessage | None, channels: list[Channel]
     ) -> None:
-        """Refuse unanswered opens, close open channels, and send DISCONNECT with the reason."""
-        final_messages = [item for item in self._queued_messages if not isinstance(item, Channel)]
+        """Send what is queued, refuse unanswered opens, close channels, and send DISCONNECT with the reason.
+
+        Opens that are still queued are withdrawn, as their requests may be sent to another server.
+        """
+        self._queued_messages = deque(
+            message for message in self._queued_messages if not isinstance(message, codec.ChannelOpen)
+        )
+        final_messages: list[codec.Message] = []
         for channel in channels:
             if channel.remote_id is None:
                 continue
@@ -311,8 +319,10 @@
         if error is not None:
             log.warning("malformed", extra={"error": str(error), "reason": reason})
         final_messages.append(codec.Disconnect(reason, str(error or "end of service")))
+        queued = b"".join(iter(self._next_batch, b""))
         with contextlib.suppress(ConnectionBroken):
-            await self._stream.finish(b"".join(map(codec.encode, final_messages)))
+            await self._stream.finish(queued + b"".join(map(codec.encode, final_messages)))
+        self._report_sent_opens()
 
     # Reading
 
@@ -537,12 +547,11 @@
             codec.REQUEST_CHANNEL, channel.local_id, WINDOW_BYTES, codec.MAX_PAYLOAD_BYTES, extra
         )
         self.enqueue(channel.open_message)
-        self._queued_messages.append(channel)  # marker: the writer sets `open_sent` when it reaches this
         return channel
 
-    def is_queued(self, channel: Channel) -> bool:
-        """Whether no byte of the channel's open has been written."""
-        return channel in self._queued_messages
+    def is_unwritten(self, channel: Channel) -> bool:
+        """Whether no byte of the channel's open has been passed to the stream."""
+        return not channel.open_sent and all(channel is not other for _, other in self._opens_in_write)
 
     def cancel_open(self, channel: Channel) -> None:
         """Cancel an open: withdraw it if unwritten, notify the peer if unanswered, else close the channel.
@@ -553,10 +562,10 @@
             if channel.remote_id is not None:
                 channel.close()
             return
-        if self.is_queued(channel):
+        if self.is_unwritten(channel):
             assert channel.open_message is not None
-            self._queued_messages.remove(channel.open_message)
-            self._queued_messages.remove(channel)
+            with contextlib.suppress(ValueError):  # withdrawn already, as the connection ends
+                self._queued_messages.remove(channel.open_message)
             self.remove_channel(channel)
             return
         channel.cancelled = True
@@ -583,26 +592,37 @@
             while True:
                 self._work_available = anyio.Event()
                 while self._queued_messages or self._writable_channels:
-                    batch = bytearray()
-                    sent = []
-                    while self._queued_messages:
-                        item = self._queued_messages.popleft()
-                        if isinstance(item, Channel):
-                            sent.append(item)
-                        else:
-                            batch += codec.encode(item)
-                    for _ in range(len(self._writable_channels)):
-                        channel = self._writable_channels.popleft()
-                        data = channel.next_data()
-                        if data is not None:
-                            batch += codec.encode(data)
-                            self._writable_channels.append(channel)
-                    if batch:
-                        await self._stream.write(bytes(batch))
-                    for channel in sent:
-                        channel.open_sent = True
-                        if channel.on_sent is not None:
-                            channel.on_sent()
+                    if batch := self._next_batch():
+                        await self._stream.write(batch)
+                        self._report_sent_opens()
                 await self._work_available.wait()
         except ConnectionBroken:
             pass  # the reader fails as well, and ends the connection
+
+    def _next_batch(self) -> bytes:
+        """Remove and encode the queued messages, and one packet of data for each channel that may send.
+
+        The caller must pass the result to the stream at once: it is in no queue any more.
+        """
+        batch = bytearray()
+        while self._queued_messages:
+            message = self._queued_messages.popleft()
+            batch += codec.encode(message)
+            if isinstance(message, codec.ChannelOpen):
+                end = self._stream.accepted_bytes + len(batch)
+                self._opens_in_write.append((end, self._channels[message.sender]))
+        for _ in range(len(self._writable_channels)):
+            channel = self._writable_channels.popleft()
+            data = channel.next_data()
+            if data is not None:
+                batch += codec.encode(data)
+                self._writable_channels.append(channel)
+        return bytes(batch)
+
+    def _report_sent_opens(self) -> None:
+        """Mark the channels whose opens have been sent completely, and tell their callers."""
+        while self._opens_in_write and self._opens_in_write[0][0] <= self._stream.sent_bytes:
+            _, channel = self._opens_in_write.popleft()
+            channel.open_sent = True
+            if channel.on_sent is not None:
+                channel.on_sent()
--- a/puffinford/fronts/channels/server.py
+++ b/puffinford/fronts/channels/server.py
@@ -112,7 +112,7 @@
         """Return the established connection; raises AttemptEnded if the open failed or has no answer."""
         if not channel.answered.is_set():
             raise AttemptEnded(
-                Result.CONNECT_FAILED if channel.multiplexer.is_queued(channel) else Result.TIMEOUT
+                Result.CONNECT_FAILED if channel.multiplexer.is_unwritten(channel) else Result.TIMEOUT
             )
         if channel.refusal is not None:
             raise AttemptEnded(decode_refusal(channel.refusal))
--- a/tests/test_final_messages.py
+++ b/tests/test_final_messages.py
@@ -136,6 +136,28 @@
             await here.ended.wait()
 
 
+@pytest.mark.parametrize("order", ["queued first", "cancelled first"])
+async def test_an_open_that_reaches_the_server_as_its_connection_ends_counts_as_sent(order: str) -> None:
+    """Guards against a request that is sent to a second server though the first one may run it."""
+    near, far = socket.socketpair()
+    clock, reported = Clock(), anyio.Event()
+    multiplexer = Multiplexer(TcpStream(near, clock, DescriptorBudget()), clock, is_client=True)
+    async with await anyio.abc.SocketStream.from_socket(far) as stream:
+        server = await ChannelPeer(stream).hello()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(multiplexer.run)
+            await multiplexer.ready.wait()
+            if order == "cancelled first":
+                tasks.cancel_scope.cancel()
+            channel = await multiplexer.open_channel(b"", reported.set)
+            tasks.cancel_scope.cancel()
+        messages = []
+        while not isinstance(message := await server.next(), bytes):
+            messages.append(type(message))
+    assert (codec.ChannelOpen in messages) is channel.open_sent is reported.is_set()
+    assert messages[-1] is codec.Disconnect
+
+
 @pytest.mark.parametrize("turns", range(6))
 async def test_sessions_that_end_while_their_requests_are_moved_announce_it(turns: int) -> None:
     """The sessions end some turns of the event loop after the drain, as with short deadlines."""
