Log a MOVE that its connection did not take, and say that `moved` is a decision

`event=end ... moved=True` stood in the log of a client that read no MOVE: it is written when the balancer decides to move a connection, before MOVE is queued. So the log could not tell a lost MOVE from one that was written.

`move not sent` now says for which request, and why. To make that true on channels, a channel of a closed connection raises where it dropped a message silently: `connection_lost` follows the connection from the moment in which its final messages are put together, not from the end of their write.

--- a/puffinford/core/answers.py
+++ b/puffinford/core/answers.py
@@ -72,16 +72,19 @@
                 observer.on_refused(request.key, request.opening.cls, failed=failed)
             await self.refuse(client, completion.answer, request.opening, request)
             return
-        if completion.broken or (completion.move and not await self._send_move(client)):
+        if completion.broken or (completion.move and not await self._send_move(request)):
             await client.abort()
             return
         await client.end()
 
-    async def _send_move(self, client: ClientConnection) -> bool:
-        """Send MOVE; return whether the client read it within MOVE_TIMEOUT_MS."""
-        with self._context.clock.limit(MOVE_TIMEOUT_MS) as scope:
+    async def _send_move(self, request: ClientRequest) -> bool:
+        """Send MOVE; return whether the connection took it within MOVE_TIMEOUT_MS."""
+        reason = "not read in time"
+        with self._context.clock.limit(MOVE_TIMEOUT_MS):
             try:
-                await client.move()
-            except ConnectionBroken:
-                scope.cancel()
-        return not (scope.cancelled_caught or scope.cancel_called)
+                await request.client.move()
+                return True
+            except ConnectionBroken as exc:
+                reason = str(exc)
+        log.warning("move not sent", extra={"request": request.id, "why": reason})
+        return False
--- a/puffinford/fronts/channels/multiplexer.py
+++ b/puffinford/fronts/channels/multiplexer.py
@@ -67,7 +67,11 @@
         self._drained.set()
         self._eof_received = self._eof_sent = False
         self._close_received = self._close_sent = False
-        self.connection_lost = False
+
+    @property
+    def connection_lost(self) -> bool:
+        """Whether the connection sends no more messages of this channel."""
+        return self.multiplexer.closed
 
     # Called by the request's ChannelConnection
 
@@ -114,8 +118,10 @@
             await self._drained.wait()
 
     def send_request(self, name: str, extra: bytes = b"") -> None:
-        """Send a channel request that wants no reply."""
-        if self.remote_id is not None and not (self._close_sent or self._eof_sent or self.connection_lost):
+        """Send a channel request that wants no reply; raises ConnectionBroken."""
+        if self.connection_lost:
+            raise ConnectionBroken("connection closed")
+        if self.remote_id is not None and not (self._close_sent or self._eof_sent):
             self.multiplexer.enqueue(codec.ChannelRequest(self.remote_id, name, False, extra))
 
     def send_eof(self) -> None:
@@ -236,7 +242,6 @@
 
     def handle_connection_loss(self) -> None:
         """Wake all waiters after the connection has closed."""
-        self.connection_lost = True
         self.answered.set()
         self._drained.set()
         self._changed.set()
--- a/tests/test_final_messages.py
+++ b/tests/test_final_messages.py
@@ -14,11 +14,12 @@
 import anyio.abc
 import pytest
 
+from puffinford.core.answers import MOVE_TIMEOUT_MS
 from puffinford.core.clock import Clock
 from puffinford.fronts.channels import codec
 from puffinford.fronts.channels.multiplexer import Channel, Multiplexer
 from puffinford.fronts.sockets import FINAL_WRITE_TIMEOUT_MS, LINGER_TIMEOUT_MS, DescriptorBudget, TcpStream
-from tests.harness import ChannelPeer, echo, harness
+from tests.harness import ChannelPeer, Peer, echo, harness, opening
 
 pytestmark = pytest.mark.anyio
 
@@ -26,6 +27,14 @@
 MOVED = Counter((kind, number) for number in CHANNELS for kind in ("ChannelRequest", "Close"))
 
 
+async def flood(peer: Peer) -> None:
+    """Answer UP, then send lines for as long as they are read."""
+    await peer.line()
+    await peer.send_line(b"UP r1")
+    while True:
+        await peer.send_line(bytes(4_000))
+
+
 async def read_to_end(peer: ChannelPeer) -> tuple[Counter[tuple[str, int]], bytes]:
     """Count the MOVE and CLOSE messages up to the end of the connection; return them and the end."""
     seen: Counter[tuple[str, int]] = Counter()
@@ -192,3 +201,26 @@
         await client.send_messages(codec.WindowAdjust(up.sender, 100))
         assert await client.next() == codec.Data(1, b"\r\n")
         assert await read_to_end(client) == (Counter({("ChannelRequest", 1): 1, ("Close", 1): 1}), b"FIN")
+
+
+@pytest.mark.parametrize("front", ["lines", "channels"])
+async def test_a_move_that_its_client_does_not_take_is_logged(
+    front: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """`moved=True` in the log says that a move was decided, not that MOVE was sent."""
+    async with harness() as here:
+        await here.server("s-1", flood)
+        if front == "lines":
+            assert await (await here.client(opening("0a"))).line() == b"UP r1\r\n"
+        else:
+            channel_client = await here.channel_client()
+            await channel_client.open(1, "0a")
+            assert isinstance(await channel_client.next(), codec.OpenConfirmation)
+        await anyio.wait_all_tasks_blocked()
+        here.over = True
+        await here.exchange.drain(0.0, 0.0)
+        await here.settle()
+        assert "move not sent" not in caplog.messages
+        here.clock.advance(MOVE_TIMEOUT_MS)
+        await here.settle()
+        assert caplog.messages.count("move not sent") == 1
