Answer a call of the management address that is being carried out

An operator's cordon that was being stored got a bare FIN when seventeen or more callers were connected: the change was made and its caller was not told.

The whole handling of a call stood inside the wait that may be evicted to free a descriptor, not only the reading.

Fix: reading may be evicted, answering may not. The reply is written within the bound of any last message, and its lingering close gives way as before.

--- a/puffinford/management/http.py
+++ b/puffinford/management/http.py
@@ -48,13 +48,12 @@
     async def handle(self, stream: TcpStream) -> None:
         """Read one call, answer it and end the connection."""
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
-        with (
-            self._tracker.evictable_wait(CALL_TIMEOUT_MS) as on_data,
-            contextlib.suppress(PeerClosed, ConnectionBroken),
-        ):
+        with contextlib.suppress(PeerClosed, ConnectionBroken):
             method = ""
             try:
-                call = await self._read(stream, connection, on_data)
+                call = await self._read_in_time(stream, connection)
+                if call is None:
+                    return
                 method = call.method
                 reply = await self._answer(call)
             except h11.RemoteProtocolError as exc:
@@ -65,9 +64,18 @@
                 # Answers the caller even when the handler has a bug.
                 log.exception("call failed")
                 reply = Reply(500, "internal error; see the log of the balancer")
-            await stream.write(_encode(connection, reply, with_body=method != "HEAD"))
+            await stream.finish(_encode(connection, reply, with_body=method != "HEAD"))
             await stream.end()
 
+    async def _read_in_time(self, stream: TcpStream, connection: h11.Connection) -> Call | None:
+        """Read a complete call; None if it takes over CALL_TIMEOUT_MS or its descriptor is needed.
+
+        Only the read may be evicted: the caller of a change that is being made has to learn of its result.
+        """
+        with self._tracker.evictable_wait(CALL_TIMEOUT_MS) as on_data:
+            return await self._read(stream, connection, on_data)
+        return None
+
     async def _read(self, stream: TcpStream, connection: h11.Connection, on_data: Callable[[], None]) -> Call:
         """Read a complete call; raises RemoteProtocolError, PeerClosed or ConnectionBroken."""
         call: Call | None = None
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -6,6 +6,7 @@
 import pytest
 
 from puffinford.fronts.sockets import MAX_MGMT_DESCRIPTORS
+from puffinford.management.cordons import Cordons
 from tests.harness import Peer, answering, echo, harness, http_call, opening
 
 pytestmark = pytest.mark.anyio
@@ -56,6 +57,29 @@
         assert await http_call(port, "GET /admin/health") == (200, "ready\n")
 
 
+async def test_a_call_that_is_being_answered_keeps_its_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against evicting the caller of a cordon while it is stored, for a crowd of other callers."""
+    storing, stored = anyio.Event(), anyio.Event()
+
+    async def store_slowly(self: Cordons, server_id: str, out: bool) -> None:
+        storing.set()
+        await stored.wait()
+
+    monkeypatch.setattr(Cordons, "set_cordon", store_slowly)
+    async with harness() as here:
+        here.list_server("s-1", 1)
+        port = here.management()
+        operator = Peer(await anyio.connect_tcp("127.0.0.1", port))
+        await operator.stream.send(b"POST /admin/cordon/s-1 HTTP/1.1\r\nHost: here\r\n\r\n")
+        await storing.wait()
+        others = [await anyio.connect_tcp("127.0.0.1", port) for _ in range(2 * MAX_MGMT_DESCRIPTORS)]
+        assert (await http_call(port, "GET /admin/health"))[0] == 200
+        stored.set()
+        assert (await operator.line()).startswith(b"HTTP/1.1 200")
+        for stream in (operator.stream, *others):
+            await anyio.aclose_forcefully(stream)
+
+
 @pytest.mark.parametrize("failed", [True, False], ids=["discovery fails", "discovery says nothing"])
 async def test_with_a_known_list_a_new_process_does_not_wait_for_discovery_for_long(failed: bool) -> None:
     async with harness() as here:
