Send no UP from a stand-in server that is crashing

Cause: a crash of the stand-in names the connections that are established, then resets all streams one after another, which takes it 2 to 18 ms. A connection whose set-up ended in that time still got its UP, and was reset without having been named.

Fix: a connection that is being set up when its server crashes is reset in place of its UP, and one that was accepted and not yet served is reset too, so that the connections named at the crash are all that it breaks. The checker is as it was, without any window of time.

--- a/puffinford/standins/listeners.py
+++ b/puffinford/standins/listeners.py
@@ -64,6 +64,7 @@
         self._listener = self._bind(0)  # bound and not listening: connections are refused
         self.number = int(self._listener.getsockname()[1])
         self.streams: set[SocketStream] = set()
+        self._reset_count = 0
 
     @staticmethod
     def _bind(number: int) -> socket.socket:
@@ -111,11 +112,14 @@
                 with contextlib.suppress(OSError):
                     while True:
                         raw, _ = listener.accept()
-                        self._tasks.start_soon(self._serve, raw)
+                        self._tasks.start_soon(self._serve, raw, self._reset_count)
 
-    async def _serve(self, raw: socket.socket) -> None:
+    async def _serve(self, raw: socket.socket, reset_count: int) -> None:
+        """Handle a connection that was accepted when `reset_all` had been called `reset_count` times."""
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = await SocketStream.from_socket(raw)
+        if self._reset_count != reset_count:
+            return await reset(stream)
         self.streams.add(stream)
         try:
             with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
@@ -125,6 +129,7 @@
             await anyio.aclose_forcefully(stream)
 
     async def reset_all(self) -> None:
-        """End all open connections with RST, as a process that dies does."""
+        """End all connections that were accepted with RST, as a process that dies does."""
+        self._reset_count += 1
         for stream in list(self.streams):
             await reset(stream)
--- a/puffinford/standins/servers.py
+++ b/puffinford/standins/servers.py
@@ -59,6 +59,7 @@
         self._rng = rng
         self._tasks = tasks
         self._attempt_count = 0
+        self._crash_count = 0
         self._established: set[str] = set()  # requests whose connections are established here
         self._port = ListeningPort(self._serve_connection, tasks)
         self._changed = anyio.Event()
@@ -91,7 +92,8 @@
             self._trace.add(EventKind.STATE, server=self.id, detail="cold")
 
     async def crash(self) -> None:
-        """Reset all connections and refuse new ones."""
+        """Reset all connections and refuse new ones. Connections that are being set up get no UP any more."""
+        self._crash_count += 1
         self.set_state("refusing")
         for request_id in self._established:
             self._trace.add(EventKind.BROKEN, request_id=request_id, server=self.id)
@@ -154,7 +156,10 @@
             await lines.send_line(b"BUSY")
             return
         slowdown = self.profile.slow_by if self.state == "slow" else 1.0
+        crash_count = self._crash_count
         await self._clock.sleep(self.profile.set_up * slowdown * self._rng.uniform(0.5, 1.5))
+        if self._crash_count != crash_count:
+            return await reset(stream)
         self._established.add(request_id)  # before UP: a crash right after it counts this connection
         try:
             if await lines.send_line(f"UP r-{attempt_id}".encode()):
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -10,13 +10,14 @@
 
 import anyio
 import pytest
+from anyio.abc import SocketStream
 
 from puffinford.core.clock import Clock
 from puffinford.stage.demo import DEMO_SCRIPT
 from puffinford.stage.play import Play
 from puffinford.stage.report import Report, rule_violations
 from puffinford.stage.script import InvalidScript, read_script
-from puffinford.standins import checks
+from puffinford.standins import checks, listeners
 from puffinford.standins.balancer import reserve_port
 from puffinford.standins.discovery import Discovery, EntryRegistry
 from puffinford.standins.listeners import HOST, LineStream, reset
@@ -259,6 +260,37 @@
     assert checks.moves_announced(trace) == []
 
 
+@pytest.mark.anyio
+async def test_a_server_sends_no_up_while_it_crashes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a connection that comes up and is reset during a crash, and is laid to a balancer."""
+    clock = Clock()
+    trace = Trace(clock.now)
+    set_up_ms = 20.0
+
+    async def slow_reset(stream: SocketStream) -> None:
+        await clock.sleep(3.0 * set_up_ms)
+        await reset(stream)
+
+    monkeypatch.setattr(listeners, "reset", slow_reset)
+    async with anyio.create_task_group() as tasks:
+        profile = ServerProfile(set_up=set_up_ms)
+        server = LineServer("gw-5", profile, clock, trace, random.Random(1), tasks)
+        server.start()
+        established = await open_connection(server, "established")
+        host, _, port = server.address.rpartition(":")
+        opening, accepted = [LineStream(await anyio.connect_tcp(host, int(port))) for _ in range(2)]
+        await opening.send_line(b"OPEN opening 7f3a c=a")
+        while not any(event.request_id == "opening" for event in trace.of(EventKind.ATTEMPT)):
+            await anyio.sleep(0)
+        await server.crash()
+        await accepted.send_line(b"OPEN accepted 7f3a c=a")
+        ends = [await lines.next() for lines in (established, opening, accepted)]
+        trace.add(EventKind.CUT_OFF, request_id="established", server="gw-5")
+        tasks.cancel_scope.cancel()
+    assert ends == [LineStream.RST] * 3
+    assert checks.moves_announced(trace) == []
+
+
 def test_a_reserved_port_is_given_to_no_other_play_and_can_be_listened_at() -> None:
     """Guards against two runs on one host that draw the same port before either listens on it."""
     with reserve_port() as held:
