Do not take a balancer's own hold-up for slow answers of its servers

After a hold-up of 0.15 s, which the platform may cause at any time, callers were moved off servers that had answered at once, and the balancer passed all of its servers over as slow for three seconds or more.

Cause: the delay of a message was measured from the line to the reading of its answer. Where the process was held up in between, the answer lay in its receive buffer, and the time counted as the server's; DelayMeter's median does not help where the lines of a server were on their way together.

Fix: a timer measures how long the event loop was held up, and delays exclude it, of answers as of lines that still wait. Silence is measured as before.

--- a/puffinford/core/delay_watch.py
+++ b/puffinford/core/delay_watch.py
@@ -6,6 +6,7 @@
 from puffinford.core.context import Context
 from puffinford.core.delays import DelayMeter
 from puffinford.core.logger import log
+from puffinford.core.loop_lag import LoopLag
 from puffinford.core.note_classifier import NoteClassifier
 from puffinford.core.requests import ServerAttempt
 
@@ -15,8 +16,13 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
+        self._lag = LoopLag()
         self.configure()
 
+    async def run(self) -> None:
+        """Measure how late this process is itself, until cancelled."""
+        await self._lag.run()
+
     def configure(self) -> None:
         """Discard all measurements and use the current settings."""
         aims = (cls.message_aim for cls in self._context.settings.classes if cls.message_aim > 0)
@@ -24,9 +30,13 @@
         self._meter = DelayMeter(shortest_aim)
         self._notes = NoteClassifier(shortest_aim, self._context.requests.is_established)
 
+    def record_line(self, attempt: ServerAttempt) -> None:
+        """Record a line that is sent to the server."""
+        attempt.unanswered.sent(self._context.clock.now(), self._lag.total_ms)
+
     def record_answer(self, attempt: ServerAttempt) -> None:
         """Record a message from the server as the answer to the oldest unanswered line."""
-        delay = attempt.unanswered.answered(self._context.clock.now())
+        delay = attempt.unanswered.answered(self._context.clock.now(), self._lag.total_ms)
         if delay is not None:
             self._meter.sample(attempt.entry.server.id, delay)
 
@@ -46,7 +56,7 @@
 
     def report_delays(self) -> None:
         """Report pending load notes, and the message delays measured since the last call."""
-        now = self._context.clock.now()
+        now, lag = self._context.clock.now(), self._lag.total_ms
         for note in self._notes.due(now):
             self._context.dispatch(it.LoadUpdate(note.request_id, note.server, note.value))
         waiting = []
@@ -54,7 +64,7 @@
         for request, attempt in self._context.requests.established():
             server_id = attempt.entry.server.id
             request_by_server.setdefault(server_id, request.id)
-            waiting.append((server_id, attempt.unanswered.age(now)))
+            waiting.append((server_id, attempt.unanswered.delay(now, lag)))
         for server_id, delay in self._meter.finish_round(waiting):
             if server_id in request_by_server:
                 self._report_delay(request_by_server[server_id], server_id, delay, "measure")
--- a/puffinford/core/delays.py
+++ b/puffinford/core/delays.py
@@ -4,31 +4,55 @@
 
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import dataclass
 from statistics import median
 
 
+@dataclass(frozen=True, slots=True)
+class _SentLine:
+    """When a line was sent in ms, and the process's total lag at that time."""
+
+    at: float
+    lag: float
+
+
 class UnansweredLines:
-    """Lines of one connection that have not been answered. Times are in ms."""
+    """Lines of one connection that have not been answered. Times are in ms.
+
+    `lag` is the total time in ms in which the process has been held up (`LoopLag.total_ms`). Delays exclude
+    it: they are the server's.
+    """
 
     __slots__ = ("_heard", "_sent")
 
     def __init__(self) -> None:
         # Bounded for servers that do not answer every line.
-        self._sent: deque[float] = deque(maxlen=64)
+        self._sent: deque[_SentLine] = deque(maxlen=64)
         self._heard = 0.0
 
-    def sent(self, now: float) -> None:
+    def sent(self, now: float, lag: float = 0.0) -> None:
         """Record a line sent to the server."""
-        self._sent.append(now)
+        self._sent.append(_SentLine(now, lag))
 
     def heard(self, now: float) -> None:
         """Record any input from the server."""
         self._heard = now
 
-    def answered(self, now: float) -> float | None:
+    def answered(self, now: float, lag: float = 0.0) -> float | None:
         """Remove the oldest line and return its delay; None if there is none."""
         self._heard = now
-        return now - self._sent.popleft() if self._sent else None
+        if not self._sent:
+            return None
+        delay = self.delay(now, lag)
+        self._sent.popleft()
+        return delay
+
+    def delay(self, now: float, lag: float = 0.0) -> float:
+        """The delay of the oldest line up to now; 0 if there is none."""
+        if not self._sent:
+            return 0.0
+        oldest = self._sent[0]
+        return max(0.0, now - oldest.at - (lag - oldest.lag))
 
     @property
     def last_heard(self) -> float:
@@ -37,11 +61,11 @@
 
     def age(self, now: float) -> float:
         """How long the oldest line has been unanswered; 0 if there is none."""
-        return now - self._sent[0] if self._sent else 0.0
+        return now - self._sent[0].at if self._sent else 0.0
 
     def silence(self, now: float) -> float:
         """How long there has been no input while a line is unanswered; 0 if there is none."""
-        return now - max(self._sent[0], self._heard) if self._sent else 0.0
+        return now - max(self._sent[0].at, self._heard) if self._sent else 0.0
 
 
 class DelayMeter:
@@ -63,7 +87,7 @@
     def finish_round(self, waiting: Iterable[tuple[str, float]]) -> list[tuple[str, float]]:
         """Start a new round; return servers to report with their delay in ms.
 
-        `waiting` holds the server and age in ms of each unanswered line.
+        `waiting` holds the server and the delay up to now, in ms, of each unanswered line.
         """
         samples, self._samples = self._samples, {}
         if self._threshold <= 0:
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -96,6 +96,7 @@
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             self._source = source
+            tasks.start_soon(self._delays.run)
             self._stall.set_source(source)
             if self._servers.cordoned:
                 self._dispatch(it.Cordoned(self._servers.cordoned))
--- a/puffinford/core/forwarding.py
+++ b/puffinford/core/forwarding.py
@@ -45,7 +45,7 @@
                 attempt = request.attempt
                 if attempt is None or attempt.connection is None:
                     return
-                attempt.unanswered.sent(self._context.clock.now())
+                self._delays.record_line(attempt)
                 try:
                     await attempt.connection.send(message)
                 except ConnectionBroken:
