Start a restarted balancer of a play only after its predecessor has ended

Cause, suspected: a planned restart started the next process at once after SIGKILL. While the old one still runs, it accepts the connection by which the play finds the new one ready, and the SIGHUP that the story sends then ends a process that does not handle signals yet. The failing play's exit status was not kept, so this is not shown for it; it is written into the error now.

Fix: the play waits for the end of the old process, as its other restarts do, with the same function.

--- a/puffinford/stage/play.py
+++ b/puffinford/stage/play.py
@@ -222,7 +222,9 @@
             await self.clock.sleep(PROCESS_CHECK_INTERVAL_MS)
             for balancer in self.balancers:
                 if not balancer.running and balancer.name not in self._stopped:
-                    raise PlayFailed(f"{balancer.name} ended by itself; see {balancer.log_path}")
+                    raise PlayFailed(
+                        f"{balancer.name} ended by itself ({balancer.exit_status}); see {balancer.log_path}"
+                    )
             await self.relays.poll_lateness()
 
     async def _measure_lateness(self) -> None:
@@ -341,9 +343,7 @@
             case "restart" | "roll" | "stall":
                 balancer.signal(signal.SIGTERM if kind == "roll" else signal.SIGKILL)
                 balancer.ready = False
-                with self.clock.limit(EXIT_TIMEOUT_S * 1_000.0):
-                    while balancer.running:
-                        await self.clock.sleep(5.0)
+                await self._wait_until_ended(balancer)
                 balancer.signal(signal.SIGKILL)  # in case it did not end in time
                 self._start(balancer)
                 if kind == "stall":
@@ -371,8 +371,18 @@
             self.trace.add(EventKind.FAULT, balancer=balancer.name, detail=KILLED)
         balancer.signal(signal.SIGKILL)
         balancer.write_settings(balancer.settings)
+        await self._wait_until_ended(balancer)
         self._start(balancer)
 
+    async def _wait_until_ended(self, balancer: BalancerProcess) -> None:
+        """Wait for the process's end, for at most EXIT_TIMEOUT_S.
+
+        A successor that is started earlier is taken for ready by connections that the old process accepts.
+        """
+        with self.clock.limit(EXIT_TIMEOUT_S * 1_000.0):
+            while balancer.running:
+                await self.clock.sleep(POLL_INTERVAL_MS)
+
     async def _end_fault(self, balancer: BalancerProcess) -> None:
         """End the fault of a balancer, whatever its kind."""
         self._crowds.stop(balancer.name)
--- a/puffinford/standins/balancer.py
+++ b/puffinford/standins/balancer.py
@@ -177,6 +177,14 @@
         """Whether the process runs."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def exit_status(self) -> str:
+        """How the process ended: its exit code or signal; empty if it runs or was never started."""
+        code = None if self._process is None else self._process.poll()
+        if code is None:
+            return ""
+        return signal.Signals(-code).name if code < 0 else f"exit code {code}"
+
     @property
     def pid(self) -> int:
         """Process id; the process must have been started."""
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+import signal
+from collections.abc import Mapping, Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import anyio
 import anyio.abc
@@ -13,6 +14,7 @@
 
 from puffinford.cli import main
 from puffinford.cli.stage import STORIES_DIRECTORY
+from puffinford.core.clock import Clock
 from puffinford.stage.play import Play, PlayFailed
 from puffinford.stage.relays import RelayEnded, start_relays
 from puffinford.stage.report import Report, fault_spans, latency_percentiles
@@ -26,6 +28,7 @@
     sample_loads,
 )
 from puffinford.standins import checks
+from puffinford.standins.balancer import BalancerProcess
 from puffinford.standins.discovery import Discovery
 from puffinford.standins.listeners import HOST, LineStream
 from puffinford.standins.servers import ServerProfile
@@ -330,3 +333,41 @@
         event.do for event in script.events if event.whom != "server"
     }
     assert report.idle_servers() == []
+
+
+class SlowlyEndingBalancer:
+    """A balancer process that still runs for a while after SIGKILL, as on a busy machine."""
+
+    name = "n1"
+    settings: Mapping[str, Any] = {"classes": []}
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.ready = True
+        self.killed_at = float("inf")
+        self.started_while_running: bool | None = None
+
+    @property
+    def running(self) -> bool:
+        return self._clock.now() < self.killed_at + 50.0
+
+    def signal(self, signum: int) -> None:
+        if signum == signal.SIGKILL:
+            self.killed_at = min(self.killed_at, self._clock.now())
+
+    def write_settings(self, settings: Mapping[str, Any]) -> None: ...
+
+    def start(self) -> None:
+        self.started_while_running = self.running
+
+
+@pytest.mark.anyio
+async def test_a_restarted_balancer_is_started_after_its_predecessor_has_ended(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a SIGHUP to a process that is only starting, as its predecessor still accepts for it."""
+    play = Play(read_script(BASE_SCRIPT), tmp_path)
+    balancer = SlowlyEndingBalancer(play.clock)
+    monkeypatch.setattr(play, "_start", lambda started: started.start())
+    await play._planned_restart(cast(BalancerProcess, balancer))
+    assert balancer.started_while_running is False
