Send a last message that the socket takes, whatever its limit or its caller

Cause: `finish` wrote under a limit that may be as short as 20 ms during a shutdown, and a write raises before its first byte if its scope is cancelled. A process that does not run between the start of the limit and the write, or whose handler is cancelled, so ends a connection without its last message. Lines' BUSY and ERR are written by the same function.

Fix: a last message is passed to the system at once, and only what it does not take is waited for. In the new test, with a limit of 0 ms and with a cancelled caller, the peer read FIN alone before, and reads the message now.

--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -215,14 +215,13 @@
         Prevents lost and interleaved messages: the stream keeps what a cancelled call has not sent, and sends
         it before the next message.
         """
-        self._unsent += data
-        self.accepted_bytes += len(data)
+        self._accept(data)
         shortages = 0
         try:
             async with self._lock:
                 while self._unsent:
                     try:
-                        del self._unsent[: self._sock.send(self._unsent)]
+                        self._send_some()
                     except BlockingIOError:
                         await anyio.wait_writable(self._sock)
                     except OSError as exc:
@@ -230,6 +229,14 @@
         except (OSError, ValueError, anyio.ClosedResourceError) as exc:
             raise ConnectionBroken(str(exc)) from None
 
+    def _accept(self, data: bytes) -> None:
+        self._unsent += data
+        self.accepted_bytes += len(data)
+
+    def _send_some(self) -> None:
+        """Pass unsent data to the system, as much as it takes at once; raises OSError or ValueError."""
+        del self._unsent[: self._sock.send(self._unsent)]
+
     async def end_sending(self) -> None:
         """Send FIN; raises ConnectionBroken."""
         try:
@@ -258,13 +265,16 @@
     async def finish(self, data: bytes) -> None:
         """Write the last message within FINAL_WRITE_TIMEOUT_MS, to be followed by `end`.
 
-        Raises ConnectionBroken.
+        What the system takes at once is sent even if the caller is cancelled or its time is over. Raises
+        ConnectionBroken.
         """
-        written = False
+        self._accept(data)
+        if not self._lock.locked():
+            with contextlib.suppress(OSError, ValueError):  # `write` waits, or raises it again
+                self._send_some()
         with self.clock.limit(self._budget.bounded_timeout(FINAL_WRITE_TIMEOUT_MS, self.clock.now())):
-            await self.write(data)
-            written = True
-        if not written:
+            await self.write(b"")
+        if self._unsent:
             raise ConnectionBroken("last message was not written in time")
 
     def close(self) -> None:
--- a/tests/test_final_messages.py
+++ b/tests/test_final_messages.py
@@ -145,6 +145,25 @@
             await here.ended.wait()
 
 
+@pytest.mark.parametrize("cause", ["its time is over", "its writer is cancelled"])
+async def test_a_last_message_is_sent_if_the_socket_takes_it(
+    cause: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a bare FIN from a process that did not run between the limit's start and the write."""
+    near, far = socket.socketpair()
+    budget = DescriptorBudget()
+    stream = TcpStream(near, Clock(), budget)
+    with anyio.CancelScope() as scope:
+        if cause == "its time is over":
+            monkeypatch.setattr(budget, "bounded_timeout", lambda timeout_ms, now: 0.0)
+        else:
+            scope.cancel()
+        await stream.finish(b"BUSY\r\n")
+    await stream.end()
+    assert far.recv(100) == b"BUSY\r\n"
+    far.close()
+
+
 @pytest.mark.parametrize("order", ["queued first", "cancelled first"])
 async def test_an_open_that_reaches_the_server_as_its_connection_ends_counts_as_sent(order: str) -> None:
     """Guards against a request that is sent to a second server though the first one may run it."""
