Listen 40 ms past the last arrivals of a shutdown

Clients that connected 0.4 s after SIGTERM, as late as the platform may send them, could be refused where all deadlines are under 350 ms.

Cause: with such deadlines the last answers are due at 0.4 s, and the listeners were closed at once with them, so a connection that was a few milliseconds on its way found no listener. Longer deadlines left 50 ms or more.

Fix: the plan has a time for the end of listening, 40 ms past the arrivals where the last answers come earlier; who connects in between gets BUSY. For deadlines of 350 ms and more nothing changes. The plan's test asks for it.

--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -216,19 +216,21 @@
             self._keeper.release_store()
         settle_ms = max(0.0, signalled_at + plan.move_from - self._clock.now())
         await self._exchange.drain(settle_ms, signalled_at + plan.answer_at - self._clock.now() - settle_ms)
-        await self._end_connections(signalled_at + plan.last_at)
+        await self._end_connections(signalled_at + plan.listen_until, signalled_at + plan.last_at)
         self._connections.cancel_scope.cancel()
 
-    async def _end_connections(self, deadline: float) -> None:
-        """Stop listening, answer waiting and idle clients, and wait until their connections have ended.
+    async def _end_connections(self, listen_until: float, deadline: float) -> None:
+        """Answer waiting and idle clients, stop listening, and wait until all connections have ended.
 
-        Requests that arrive during the shutdown are still read and answered, not cut off unread. At
-        `deadline` (clock ms) unanswered connections are no longer waited for.
+        Requests that arrive during the shutdown are still read and answered, not cut off unread. New
+        connections are accepted until `listen_until`; at `deadline` unanswered ones are no longer waited for.
+        Both are in ms of the clock.
         """
-        self._listeners.stop()
         tracker = self._listeners.lines.tracker  # shared by both client fronts
         close_at = self._budget.close_at
         while True:
+            if self._clock.now() >= listen_until:
+                self._listeners.stop()
             tracker.evict_all()
             if self._clock.now() >= close_at - SESSION_CLOSE_LEAD_MS:
                 tracker.end_sessions()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -16,7 +16,12 @@
 from hypothesis import strategies as st
 
 from puffinford import interface as it
-from puffinford.core.shutdown import ARRIVAL_PERIOD_MS, SUSPENSION_ALLOWANCE_MS, plan_shutdown
+from puffinford.core.shutdown import (
+    ARRIVAL_MARGIN_MS,
+    ARRIVAL_PERIOD_MS,
+    SUSPENSION_ALLOWANCE_MS,
+    plan_shutdown,
+)
 from puffinford.fronts.channels import codec
 from tests.harness import ChannelPeer, Peer, opening
 from tests.processes import Site, site
@@ -55,6 +60,7 @@
     plan = plan_shutdown(settings, has_ready_successor=has_ready_successor)
     assert plan.kill_at == min(max(deadlines), max(others), 3_000.0) + 700.0
     assert 0.0 <= plan.move_from <= plan.answer_at < plan.close_at <= plan.kill_at - SUSPENSION_ALLOWANCE_MS
+    assert ARRIVAL_PERIOD_MS + ARRIVAL_MARGIN_MS <= plan.listen_until < plan.close_at
     assert plan.answer_at >= ARRIVAL_PERIOD_MS and plan.close_at < plan.last_at < plan.kill_at
     assert has_ready_successor or plan.move_from >= ARRIVAL_PERIOD_MS, (
         "clients moved earlier could reconnect to this process"
