Do not send an open that its server has refused before it was sent

Cause: the writer looked the channel of a queued open up by its number, and a refused channel is removed. Fix: such an open is left out, as its request has been answered and may be at another server. The new test failed with the KeyError before; the next open on the connection is sent and reported now.

--- a/puffinford/fronts/channels/multiplexer.py
+++ b/puffinford/fronts/channels/multiplexer.py
@@ -612,10 +612,13 @@
         batch = bytearray()
         while self._queued_messages:
             message = self._queued_messages.popleft()
-            batch += codec.encode(message)
-            if isinstance(message, codec.ChannelOpen):
-                end = self._stream.accepted_bytes + len(batch)
-                self._opens_in_write.append((end, self._channels[message.sender]))
+            if not isinstance(message, codec.ChannelOpen):
+                batch += codec.encode(message)
+            elif (
+                channel := self._channels.get(message.sender)
+            ) is not None:  # else refused before it was sent
+                batch += codec.encode(message)
+                self._opens_in_write.append((self._stream.accepted_bytes + len(batch), channel))
         for _ in range(len(self._writable_channels)):
             channel = self._writable_channels.popleft()
             data = channel.next_data()
--- a/tests/test_final_messages.py
+++ b/tests/test_final_messages.py
@@ -186,6 +186,25 @@
     assert messages[-1] is codec.Disconnect
 
 
+async def test_an_open_that_its_server_refuses_before_it_is_sent_is_not_sent() -> None:
+    """Guards against a server whose early answer would end the writer, and all connections with it."""
+    near, far = socket.socketpair()
+    clock = Clock()
+    multiplexer = Multiplexer(TcpStream(near, clock, DescriptorBudget()), clock, is_client=True)
+    async with await anyio.abc.SocketStream.from_socket(far) as stream:
+        server = await ChannelPeer(stream).hello()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(multiplexer.run)
+            await multiplexer.ready.wait()
+            refused = await multiplexer.open_channel(b"", lambda: None)
+            multiplexer._handle_message(codec.OpenFailure(refused.local_id, codec.FAILED, "early"))
+            sent = anyio.Event()
+            await multiplexer.open_channel(b"", sent.set)
+            assert isinstance(opened := await server.next(), codec.ChannelOpen) and opened.sender == 1
+            assert sent.is_set() and refused.refusal is not None and not refused.open_sent
+            tasks.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("turns", range(6))
 async def test_sessions_that_end_while_their_requests_are_moved_announce_it(turns: int) -> None:
     """The sessions end some turns of the event loop after the drain, as with short deadlines."""
