--- a/review/2/play.py
+++ b/review/2/play.py
@@ -59,6 +59,7 @@
         """Send one request."""
         number = self.opened
         self.opened += 1
+        self._record.add(f"{self.name}: opens channel {number}")
         texts = (f"{self.name}-{number}", f"{number:04x}{self.name[4:]:0>12}", "till-status", self.tenant, "")
         extra = b"".join(ssh_text(text.encode()) for text in texts) + struct.pack(">II", 3000, 0)
         head = ssh_text(b"job@puffinford.example") + struct.pack(">III", number, 1 << 20, 32_768)
@@ -72,8 +73,11 @@
                     own, theirs = struct.unpack_from(">II", payload, 1)
                     self._channels[own] = theirs
                     self.up += 1
+                    self._record.add(f"{self.name}: channel {own} is up")
                 elif kind == 92:  # CHANNEL_OPEN_FAILURE
+                    own, reason = struct.unpack_from(">II", payload, 1)
                     self.refused += 1
+                    self._record.add(f"{self.name}: channel {own} is refused, reason {reason}")
                 elif kind == 94:  # DATA
                     own, size = struct.unpack_from(">II", payload, 1)
                     self._writer.write(ssh_packet(struct.pack(">BII", 93, self._channels[own], size)))
--- a/review/common.py
+++ b/review/common.py
@@ -205,18 +205,19 @@
         self.folder = folder
         self.sockets = 1024
 
-    def start(self, discovery: int, known: dict[str, Any] | None, **settings: Any) -> None:
-        """Start it with a configuration of its own."""
+    def start(self, discovery: int | None, known: dict[str, Any] | None, **settings: Any) -> None:
+        """Start it with a configuration of its own; without discovery it reads an inventory."""
         config = {
             "name": "n1",
             "listen": f"127.0.0.1:{self.port}",
-            "discovery": f"127.0.0.1:{discovery}",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "settings": SETTINGS | settings,
         }
         if known is not None:
             config["known"] = known
+        if discovery is not None:
+            config["discovery"] = f"127.0.0.1:{discovery}"
         path = self._temporary / "config.json"
         path.write_text(json.dumps(config))
         (self._temporary / "tmp").mkdir()
@@ -224,7 +225,7 @@
             "EDGE_NAME": "n1",
             "EDGE_CONFIG": str(path),
             "EDGE_LISTEN": config["listen"],
-            "EDGE_DISCOVERY": config["discovery"],
+            "EDGE_DISCOVERY": config.get("discovery", ""),
             "TMPDIR": str(self._temporary / "tmp"),
         }
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
