--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,129 +1,159 @@
-"""Case: one client with a long key is moved by rebalancing, and the balancer process crashes."""
+"""Case: a channel server writes one line in small pieces, and every client of that server is cut off."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import random
+import struct
 import sys
 import tempfile
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from common import BROKEN, HELD, TROUBLE, Balancer, CannotRun, Discovery, LineServer, Record, main
+from common import (
+    BROKEN,
+    HELD,
+    TROUBLE,
+    Balancer,
+    CannotRun,
+    LineClient,
+    Record,
+    main,
+    read_ssh_payload,
+    ssh_packet,
+    ssh_text,
+)
 
 FOLDER = Path(__file__).resolve().parent
-CLIENTS = 40
-LONG_KEYS = 4  # clients whose key has 32 hexadecimal digits in place of 16; they ask for the cheapest class
+CLIENTS = 16
+LINE_BYTES = 3_000  # of the one long answer; a line may hold 4 KiB
+PIECE_BYTES = 4
 
 
-class Till:
-    """A client that comes back whenever it was moved, and tells so with again=1."""
+class ChannelServer:
+    """A server that speaks channels: confirms each open and answers each line with a line at once.
 
-    def __init__(self, record: Record, port: int, number: int, digits: int, cls: str) -> None:
+    It keeps to the windows that the balancer grants.
+    """
+
+    def __init__(self, ident: str, record: Record) -> None:
+        self.id = ident
         self._record = record
-        self._port = port
-        self.name = f"till{number:02}"
-        self._cls = cls
-        drawn = random.Random(number)
-        self.key = f"{drawn.getrandbits(4 * digits) | 1 << (4 * digits - 1):0{digits}x}"
-        self.tries = 0
-        self.moves = 0
-        self.is_up = False
-        self.lost = ""
-
-    async def run(self) -> None:
-        """Stay connected until the balancer cuts the connection off."""
-        while not self.lost:
-            self.tries += 1
-            ident = f"{self.name}-{self.tries}"
-            again = ",again=1" if self.tries > 1 else ""
-            opening = f"OPEN {ident} {self.key} c={self._cls},d=2000,g={self.name}{again}"
-            try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
-                writer.write(opening.encode() + b"\r\n")
-                answer = (await asyncio.wait_for(reader.readline(), 4)).decode().strip()
-            except (OSError, TimeoutError) as exc:
-                self.lost = f"no connection: {type(exc).__name__}"
-                break
-            self._record.add(f"client: {opening}: {answer}")
-            if answer.startswith("UP "):
-                self.is_up = True
-                writing = asyncio.create_task(self._write(writer, ident))
-                last = b""
-                try:
-                    while line := await reader.readline():
-                        last = line
-                    ended = "closed"
-                except OSError:
-                    ended = "reset"
-                writing.cancel()
-                self.is_up = False
-                if last != b"MOVE\r\n":
-                    self.lost = f"cut off: {ended}"
+        self.port = 0
+        self.long_answers = 0  # answers of LINE_BYTES still to be given, each to the next line that comes
+
+    async def start(self) -> None:
+        """Listen."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"SSH-2.0-standin_1\r\n")
+        peers: dict[int, int] = {}  # the balancer's channel numbers by ours
+        windows: dict[int, int] = {}  # bytes that the balancer lets us send
+        rests: dict[int, bytes] = {}
+        try:
+            await reader.readline()
+            while True:
+                payload = await read_ssh_payload(reader)
+                kind = payload[0]
+                if kind == 90:  # CHANNEL_OPEN
+                    (size,) = struct.unpack_from(">I", payload, 1)
+                    sender, window, _ = struct.unpack_from(">III", payload, 5 + size)
+                    number = len(peers)
+                    peers[number], windows[number], rests[number] = sender, window, b""
+                    self._record.add(f"server {self.id}: channel {number} opened and confirmed")
+                    head = struct.pack(">BIIII", 91, sender, number, 1 << 20, 32_768)
+                    writer.write(ssh_packet(head + ssh_text(f"r-{self.id}-{number}".encode())))
+                    continue
+                if kind == 1:  # DISCONNECT
+                    (size,) = struct.unpack_from(">I", payload, 5)
+                    why = payload[9 : 9 + size].decode()
+                    self._record.add(f"server {self.id}: the balancer disconnects: {why}")
                     break
-                self.moves += 1
-                self._record.add(f"client {ident}: moved")
+                if kind not in (93, 94, 96, 97):
+                    continue
+                (number,) = struct.unpack_from(">I", payload, 1)
+                if kind == 93:  # WINDOW_ADJUST
+                    windows[number] += struct.unpack_from(">I", payload, 5)[0]
+                elif kind == 94:  # DATA
+                    rests[number] += payload[9:]
+                    writer.write(ssh_packet(struct.pack(">BII", 93, peers[number], len(payload) - 9)))
+                    *lines, rests[number] = rests[number].split(b"\n")
+                    for line in lines:
+                        self._answer(writer, peers[number], number, windows, line.rstrip(b"\r"))
+                elif kind == 97:  # CLOSE
+                    self._record.add(f"server {self.id}: channel {number} closed by the balancer")
+                    writer.write(ssh_packet(struct.pack(">BI", 97, peers[number])))
+        except (asyncio.IncompleteReadError, OSError) as exc:
+            self._record.add(f"server {self.id}: connection ended: {type(exc).__name__}")
+        with contextlib.suppress(OSError):
             writer.close()
-            await asyncio.sleep(0.3)
-        self._record.add(f"client {self.name}: {self.lost}")
 
-    async def _write(self, writer: asyncio.StreamWriter, ident: str) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                await asyncio.sleep(2)
-                writer.write(f"ITEM {ident}\r\n".encode())
+    def _answer(
+        self, writer: asyncio.StreamWriter, peer: int, number: int, windows: dict[int, int], line: bytes
+    ) -> None:
+        answer, size = b"ACK " + line + b"\r\n", 1 << 15
+        if self.long_answers:
+            self.long_answers -= 1
+            answer = answer[:-2].ljust(LINE_BYTES - 2, b".") + b"\r\n"
+            size = PIECE_BYTES if TROUBLE else size
+            pieces = -(-len(answer) // size)
+            self._record.add(
+                f"server {self.id}: channel {number}: a line of {len(answer)} bytes in {pieces} pieces, "
+                f"window {windows[number]}"
+            )
+        if windows[number] < len(answer):
+            raise CannotRun("no window")
+        windows[number] -= len(answer)
+        cuts = range(0, len(answer), size)
+        packets = (struct.pack(">BI", 94, peer) + ssh_text(answer[at : at + size]) for at in cuts)
+        writer.write(b"".join(map(ssh_packet, packets)))
 
 
 async def play(record: Record) -> int:
-    discovery = Discovery(record)
-    await discovery.start()
-    servers = [LineServer(f"gw-{n}", record) for n in (1, 2, 3, 4)]
+    servers = [ChannelServer(f"gw-{n}", record) for n in (1, 2)]
     for server in servers:
         await server.start()
-    for server in servers[:2]:
-        discovery.put(server.id, f"127.0.0.1:{server.port}")
     with tempfile.TemporaryDirectory(prefix="review-") as folder:
-        operators = Path(folder) / "puffinford.conf"
-        operators.write_text("section rebalance\n    enabled on\n")
-        balancer = Balancer(record, FOLDER, f"serve --settings {operators}")
-        try:
-            balancer.start(discovery.port, discovery.full_list(), balancers=1)
-            await balancer.wait_ready()
-            tills = [
-                Till(record, balancer.port, n, 32 if TROUBLE else 16, "price-lookup")
-                if n < LONG_KEYS
-                else Till(record, balancer.port, n, 16, "till-status")
-                for n in range(CLIENTS)
-            ]
-            tasks = []
-            for till in tills:
-                tasks.append(asyncio.create_task(till.run()))
-                await asyncio.sleep(0.05)
-            await asyncio.sleep(3)
-            if not all(till.is_up for till in tills):
-                raise CannotRun("not all clients are up")
-            for server in servers[2:]:
-                discovery.put(server.id, f"127.0.0.1:{server.port}")
-            for _ in range(60):
-                await asyncio.sleep(1)
-                if not balancer.is_running or any(till.lost for till in tills):
-                    break
-            moves = sum(till.moves for till in tills)
-            long_moves = sum(till.moves for till in tills[:LONG_KEYS])
-            lost = [till for till in tills if till.lost]
-            record.add(
-                f"{moves} moves, {long_moves} of the first {LONG_KEYS} clients; balancer running: "
-                f"{balancer.is_running}; {len(lost)} of {CLIENTS} clients cut off or without a balancer"
-            )
-            if not balancer.is_running:
-                record.add(f"balancer log ends: {balancer.log().strip().splitlines()[-1]}")
-            if not moves:
-                raise CannotRun("nothing was moved")
-            return BROKEN if lost or not balancer.is_running else HELD
-        finally:
-            balancer.end()
+        inventory = Path(folder) / "inventory.yaml"  # in the form of deploy/inventory.example.yaml
+        hosts = [f"    {s.id}: {{host: 127.0.0.1, port: {s.port}, kind: rapido}}\n" for s in servers]
+        inventory.write_text(
+            "till_gateways:\n  vars: {front: channels, zone: recife-boa-vista}\n  hosts:\n" + "".join(hosts)
+        )
+        return await play_with(record, servers, Balancer(record, FOLDER, f"serve --inventory {inventory}"))
+
+
+async def play_with(record: Record, servers: list[ChannelServer], balancer: Balancer) -> int:
+    try:
+        balancer.start(None, None)
+        await balancer.wait_ready()
+        clients = [LineClient(record, balancer.port, f"c{n:03}") for n in range(CLIENTS)]
+        for client in clients:
+            await client.open()
+            await asyncio.sleep(0.1)
+        up = [client for client in clients if client.is_open]
+        if len(up) < CLIENTS:
+            raise CannotRun(f"only {len(up)} of {CLIENTS} clients are up")
+        await asyncio.sleep(3)  # every client sends and gets lines
+        if not all(client.is_open and client.lines for client in up):
+            raise CannotRun("not all clients were served before the disruption")
+        for server in servers:
+            server.long_answers = 1
+        await asyncio.sleep(8)
+        lost = [client for client in up if client.ended in ("closed", "reset")]
+        long_lines = sum(len(line) > LINE_BYTES // 2 for client in up for line in client.lines)
+        record.add(
+            f"of {len(up)} connections {len(lost)} were cut off without MOVE while their servers ran; "
+            f"{long_lines} long lines arrived; balancer running: {balancer.is_running}"
+        )
+        for line in balancer.log().splitlines():
+            if "malformed" in line:
+                record.add(f"balancer log: {line}")
+        return BROKEN if lost else HELD
+    finally:
+        balancer.end()
 
 
 if __name__ == "__main__":
--- a/review/common.py
+++ b/review/common.py
@@ -1,4 +1,4 @@
-"""Shared parts of the review's cases: the balancer process, discovery, line clients and the record.
+"""Shared parts of the review's cases: the balancer process, line servers and clients, and the record.
 
 Standard library only. Everything listens on loopback addresses and free ports; every process that is started
 here is ended here.
@@ -112,59 +112,6 @@
         return int(sock.getsockname()[1])
 
 
-class Discovery:
-    """Discovery of the platform's protocol: GET /v1/servers, the whole list or a watch on changes."""
-
-    def __init__(self, record: Record) -> None:
-        self._record = record
-        self._version = 1
-        self._entries: dict[str, tuple[int, dict[str, Any]]] = {}
-        self._changed = asyncio.Event()
-        self.port = 0
-
-    async def start(self) -> None:
-        """Listen."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-
-    def put(self, ident: str, addr: str, state: str = "active", **fields: Any) -> None:
-        """Add a server, or change its state."""
-        self._version += 1
-        entry = {"id": ident, "addr": addr, "zone": "recife-boa-vista", "kind": "rapido", "cell": 0}
-        entry |= {"state": state, "weight": 1.0, "started_ms": 0} | fields
-        self._entries[ident] = (self._version, entry)
-        self._record.add(f"discovery: version {self._version}: {ident} at {addr} is {state}")
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
-
-    def full_list(self) -> dict[str, Any]:
-        """The whole list in discovery's form."""
-        return self._answer(None)
-
-    def _answer(self, index: int | None) -> dict[str, Any]:
-        entries = [e for version, e in self._entries.values() if index is None or version > index]
-        return {"version": self._version, "full": index is None, "servers": entries}
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            _, _, query = head.split(" ")[1].partition("?")
-            values = dict(pair.split("=") for pair in query.split("&") if pair)
-            index = int(values["index"]) if "index" in values else None
-            wait = min(60_000, int(values.get("wait", 0))) / 1_000
-            if index is not None and index >= self._version and wait:
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self._changed.wait(), wait)
-            answer = self._answer(index)
-            body = json.dumps(answer).encode()
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n")
-            writer.write(b"Content-Length: %d\r\nConnection: close\r\n\r\n" % len(body) + body)
-            await writer.drain()
-            told = " ".join(f"{e['id']}={e['state']}" for e in answer["servers"]) or "no change"
-            self._record.add(f"discovery told version {answer['version']}: {told}")
-        writer.close()
-
-
 class LineServer:
     """A sound server of the line protocol: UP for each opening, a line back for each line."""
 
@@ -173,6 +120,7 @@
         self._record = record
         self.port = 0
         self.openings: list[float] = []  # when each came
+        self.leaving = False  # it finishes what it has and turns new work away
 
     async def start(self) -> None:
         """Listen."""
@@ -185,8 +133,12 @@
             if line.startswith(b"OPEN "):
                 self.openings.append(self._record.now())
                 self._record.add(f"server {self.id}: got {line.decode('latin-1').split()[1]}")
-                writer.write(f"UP r-{self.id}-{len(self.openings)}\r\n".encode())
-                while line := await reader.readline():
+                if self.leaving:
+                    writer.write(b"BUSY\r\n")
+                    line = b""
+                else:
+                    writer.write(f"UP r-{self.id}-{len(self.openings)}\r\n".encode())
+                while line and (line := await reader.readline()):
                     writer.write(b"ACK " + line)
         writer.close()
 
@@ -341,15 +293,16 @@
 
     async def run() -> int:
         # Connections that are open at the end of a case are cancelled; that is no error.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-        return await asyncio.wait_for(play(record), 110)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        playing = asyncio.ensure_future(asyncio.wait_for(play(record), 110))
+        for number in (signal.SIGTERM, signal.SIGINT):  # the balancer is ended then too
+            loop.add_signal_handler(number, playing.cancel)
+        return await playing
 
     try:
         verdict = asyncio.run(run())
-    except CannotRun as exc:
-        record.add(f"cannot run: {exc}")
-        verdict = NOT_RUN
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         record.add(f"cannot run: {type(exc).__name__}: {exc}")
         verdict = NOT_RUN
     record.add(f"exit {verdict}: {('rule held', 'RULE BROKEN', 'not run')[verdict]}")
