Limit unread channel data by its bytes and not by the messages it came in

Cause: Channel.handle_message counted unread messages, whatever their size and kind, and the reader handles a chunk of 16 KiB before the task that takes them has a turn. The count said how data came, not how much was kept.

Fix: unread data is one run of bytes, limited by the window. Requests, which the window does not limit, are counted (256, at most 4 bytes of each kept), after their receiver had its turns. Messages for a channel that this end has closed are dropped, as nobody takes them. What was taken is announced in one WINDOW_ADJUST a write, where one a piece went towards the limit of 1,024 queued answers.

--- a/puffinford/fronts/channels/multiplexer.py
+++ b/puffinford/fronts/channels/multiplexer.py
@@ -10,9 +10,11 @@
 import logging
 from collections import deque
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 import anyio
 import anyio.abc
+from anyio.lowlevel import checkpoint
 
 from puffinford.core.clock import Clock
 from puffinford.core.values import ConnectionBroken, PeerClosed
@@ -25,7 +27,9 @@
 WINDOW_BYTES = 16_384  # unread data that a peer may send on a channel
 MAX_WINDOW_BYTES = 0xFFFFFFFF
 MAX_CHANNELS = 64  # open channels of one connection
-MAX_UNREAD_ITEMS = 256  # pieces of data and requests that a channel buffers
+MAX_UNREAD_REQUESTS = 256  # requests that a channel buffers; the window limits data, but not them
+MAX_KEPT_REQUEST_BYTES = 4  # of a buffered request's own data: the number of a NOTE
+RECEIVER_TURNS = 4  # turns of the event loop for a full channel's receiver to make room
 MAX_QUEUED_MESSAGES = 1_024  # messages to a peer that does not read
 VERSION_TIMEOUT_MS = 2_700.0  # for a peer's version line, and for the rest of a CHANNEL_OPEN
 IDLE_TIMEOUT_MS = 10_000.0  # for a connection without a channel
@@ -58,9 +62,12 @@
         self.on_sent: Callable[[], None] | None = None  # called when `open_sent` is set
         self.open_message: codec.ChannelOpen | None = None  # the open, if this end sent it
         self._receive_window = WINDOW_BYTES
+        self._unannounced_bytes = 0  # of the receive window, for the next WINDOW_ADJUST
         self._send_window = 0
         self._max_data_bytes = 0
-        self._unread: deque[bytes | codec.ChannelRequest] = deque()
+        # In order of arrival. Data between two requests is one item, however many messages it came in.
+        self._unread: deque[bytearray | codec.ChannelRequest] = deque()
+        self._unread_requests = 0
         self._changed = anyio.Event()
         self._unsent = bytearray()
         self._drained = anyio.Event()
@@ -85,18 +92,28 @@
             self._changed = anyio.Event()
             await self._changed.wait()
         item = self._unread.popleft()
-        if isinstance(item, bytes):
+        if isinstance(item, bytearray):
             self._restore_window(len(item))
+            return bytes(item)
+        self._unread_requests -= 1
         return item
 
     def _restore_window(self, count: int) -> None:
-        """Return `count` bytes to the peer's window."""
+        """Return `count` bytes to the peer's window, announced with the connection's next write.
+
+        Prevents a WINDOW_ADJUST for each small piece from filling the queue to a peer that reads slowly.
+        """
         self._receive_window += count
-        if (
-            not (self._close_received or self._close_sent or self._eof_received)
-            and self.remote_id is not None
-        ):
-            self.multiplexer.enqueue(codec.WindowAdjust(self.remote_id, count))
+        self._unannounced_bytes += count
+        self.multiplexer.schedule_write(self)
+
+    def next_window_adjust(self) -> codec.WindowAdjust | None:
+        """Return the message that announces the bytes returned to the peer's window, or None."""
+        count, self._unannounced_bytes = self._unannounced_bytes, 0
+        ended = self._close_received or self._close_sent or self._eof_received
+        if not count or ended or self.remote_id is None:
+            return None
+        return codec.WindowAdjust(self.remote_id, count)
 
     async def send(self, data: bytes) -> None:
         """Send data as the peer's window allows; raises ConnectionBroken.
@@ -144,10 +161,14 @@
     async def wait_closed(self) -> None:
         """Wait for the peer's CLOSE, discarding its data."""
         while not (self._close_received or self.connection_lost):
-            self._unread.clear()
+            self._clear_unread()
             self._changed = anyio.Event()
             await self._changed.wait()
 
+    def _clear_unread(self) -> None:
+        self._unread.clear()
+        self._unread_requests = 0
+
     def _remove_if_closed(self) -> None:
         if self._close_received and self._close_sent:
             self.multiplexer.remove_channel(self)
@@ -190,44 +211,68 @@
         self._send_window = message.window
         self._max_data_bytes = min(message.packet_most, codec.MAX_PAYLOAD_BYTES)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request can be buffered."""
+        return self._unread_requests >= MAX_UNREAD_REQUESTS
+
     def handle_message(self, message: codec.Message) -> None:
         """Apply a message for an answered channel; raises MalformedMessage."""
-        if len(self._unread) >= MAX_UNREAD_ITEMS:
-            # Limits memory: the window does not count requests or the overhead of small pieces.
-            raise codec.MalformedMessage(f"too many pieces untaken on channel {self.local_id}")
         match message:
-            case codec.Data(data=data) | codec.ExtendedData(data=data):
-                if len(data) > self._receive_window:
-                    raise codec.MalformedMessage(f"window overrun on channel {self.local_id}")
-                if self._eof_received or self._close_received:
-                    raise codec.MalformedMessage(f"data after the end of channel {self.local_id}")
-                self._receive_window -= len(data)
-                if isinstance(message, codec.ExtendedData):
-                    self._restore_window(len(data))  # no data type code is supported
-                elif data:
-                    self._unread.append(data)
+            case codec.Eof():
+                self._eof_received = True
+            case codec.Close():
+                self._handle_close()
+            case _ if self._close_sent:
+                pass  # the peer sent it before it read the CLOSE, and nobody receives it
+            case codec.Data(data=data):
+                self._handle_data(data)
+            case codec.ExtendedData(data=data):
+                self._take_from_window(data)
+                self._restore_window(len(data))  # no data type code is supported
             case codec.WindowAdjust(count=count):
                 self._send_window += count
                 if self._send_window > MAX_WINDOW_BYTES:
                     raise codec.MalformedMessage(f"window of channel {self.local_id} past 2^32 - 1")
                 self.multiplexer.schedule_write(self)
             case codec.ChannelRequest():
-                if message.name in (codec.MOVE, codec.BYE, codec.NOTE):
-                    self._unread.append(message)
-                elif message.want_reply and self.remote_id is not None:
-                    self.multiplexer.enqueue(codec.ChannelFailure(self.remote_id))
-            case codec.Eof():
-                self._eof_received = True
-            case codec.Close():
-                self._close_received = True
-                self._unsent.clear()
-                self._drained.set()
-                if not self._close_sent and self.remote_id is not None:
-                    self._close_sent = True
-                    self.multiplexer.enqueue(codec.Close(self.remote_id))
-                self._remove_if_closed()
+                self._handle_request(message)
         self._changed.set()
 
+    def _handle_data(self, data: bytes) -> None:
+        self._take_from_window(data)
+        if not data:
+            return
+        if self._unread and isinstance(self._unread[-1], bytearray):
+            self._unread[-1] += data
+        else:
+            self._unread.append(bytearray(data))
+
+    def _take_from_window(self, data: bytes) -> None:
+        if len(data) > self._receive_window:
+            raise codec.MalformedMessage(f"window overrun on channel {self.local_id}")
+        if self._eof_received:
+            raise codec.MalformedMessage(f"data after the end of channel {self.local_id}")
+        self._receive_window -= len(data)
+
+    def _handle_request(self, message: codec.ChannelRequest) -> None:
+        if message.name in (codec.MOVE, codec.BYE, codec.NOTE):
+            if self.is_full:
+                raise codec.MalformedMessage(f"too many requests unread on channel {self.local_id}")
+            self._unread.append(replace(message, extra=message.extra[:MAX_KEPT_REQUEST_BYTES]))
+            self._unread_requests += 1
+        elif message.want_reply and self.remote_id is not None:
+            self.multiplexer.enqueue(codec.ChannelFailure(self.remote_id))
+
+    def _handle_close(self) -> None:
+        self._close_received = True
+        self._unsent.clear()
+        self._drained.set()
+        if not self._close_sent and self.remote_id is not None:
+            self._close_sent = True
+            self.multiplexer.enqueue(codec.Close(self.remote_id))
+        self._remove_if_closed()
+
     def next_data(self) -> codec.Data | None:
         """Remove and return as much queued data as the peer's window allows, or None."""
         count = min(len(self._unsent), self._send_window, self._max_data_bytes)
@@ -360,6 +405,8 @@
                             "disconnected", extra={"reason": message.reason, "why": message.description[:100]}
                         )
                         return None
+                    if isinstance(message, codec.ChannelRequest):
+                        await self._wait_for_receiver(message.recipient)
                     self._handle_message(message)
                     partial_since, timed_out = None, False
                 if partial_since is None and packets.pending:
@@ -385,6 +432,17 @@
         except (PeerClosed, ConnectionBroken):
             return None
 
+    async def _wait_for_receiver(self, local_id: int) -> None:
+        """Give the receiver of a full channel some turns to make room.
+
+        Prevents requests that arrive in one chunk from closing a channel whose receiver is not held up.
+        """
+        channel = self._channels.get(local_id)
+        for _ in range(RECEIVER_TURNS):
+            if channel is None or not channel.is_full:
+                return
+            await checkpoint()
+
     def _session(self) -> contextlib.AbstractContextManager[None]:
         """Register the connection to be closed at shutdown, when its requests have ended."""
         return contextlib.nullcontext() if self._tracker is None else self._tracker.track_session(self.retire)
@@ -585,13 +643,13 @@
         self._work_available.set()
 
     def schedule_write(self, channel: Channel) -> None:
-        """Let the writer send the channel's data."""
+        """Let the writer send the channel's data and window adjustment."""
         if channel not in self._writable_channels:
             self._writable_channels.append(channel)
         self._work_available.set()
 
     async def _write(self) -> None:
-        """Write queued messages first, then one packet of data for each channel in turn."""
+        """Write queued messages first, then a window adjustment and a packet of data for each channel."""
         try:
             await self._stream.write(codec.VERSION.encode() + b"\r\n")
             while True:
@@ -605,7 +663,7 @@
             pass  # the reader fails as well, and ends the connection
 
     def _next_batch(self) -> bytes:
-        """Remove and encode the queued messages, and one packet of data for each channel that may send.
+        """Remove and encode the queued messages, window adjustments, and one packet of data for each channel.
 
         The caller must pass the result to the stream at once: it is in no queue any more.
         """
@@ -621,6 +679,9 @@
                 self._opens_in_write.append((self._stream.accepted_bytes + len(batch), channel))
         for _ in range(len(self._writable_channels)):
             channel = self._writable_channels.popleft()
+            adjust = channel.next_window_adjust()
+            if adjust is not None:
+                batch += codec.encode(adjust)
             data = channel.next_data()
             if data is not None:
                 batch += codec.encode(data)
