Close a channel alone, and not its connection, when its peer breaks its rules

Callers saw: a server that overran the window of one channel, or sent data after its EOF, cut off all of its clients without MOVE; a channel client lost all its requests for a fault of one.

Cause: Channel.handle_message raised the error of a malformed byte stream, MalformedMessage, for faults of its channel too, and the reader ends the connection for it. RFC 4254 counts windows and EOF by channel (5.2, 5.3).

Fix: such a fault is a ChannelViolation; the channel is closed without EOF and the log names it (`malformed channel`). A `note` without its number is one as well; it ended its request by an error in the log.

--- a/puffinford/fronts/channels/multiplexer.py
+++ b/puffinford/fronts/channels/multiplexer.py
@@ -28,7 +28,7 @@
 MAX_WINDOW_BYTES = 0xFFFFFFFF
 MAX_CHANNELS = 64  # open channels of one connection
 MAX_UNREAD_REQUESTS = 256  # requests that a channel buffers; the window limits data, but not them
-MAX_KEPT_REQUEST_BYTES = 4  # of a buffered request's own data: the number of a NOTE
+NOTE_BYTES = 4  # the number of a NOTE; no request's own data beyond it is kept
 RECEIVER_TURNS = 4  # turns of the event loop for a full channel's receiver to make room
 MAX_QUEUED_MESSAGES = 1_024  # messages to a peer that does not read
 VERSION_TIMEOUT_MS = 2_700.0  # for a peer's version line, and for the rest of a CHANNEL_OPEN
@@ -46,6 +46,10 @@
         self.description = description
 
 
+class ChannelViolation(Exception):
+    """The peer broke the rules of one channel, which is closed; the connection and the others go on."""
+
+
 class Channel:
     """One channel, at either end."""
 
@@ -217,7 +221,7 @@
         return self._unread_requests >= MAX_UNREAD_REQUESTS
 
     def handle_message(self, message: codec.Message) -> None:
-        """Apply a message for an answered channel; raises MalformedMessage."""
+        """Apply a message for an answered channel; raises ChannelViolation."""
         match message:
             case codec.Eof():
                 self._eof_received = True
@@ -233,7 +237,7 @@
             case codec.WindowAdjust(count=count):
                 self._send_window += count
                 if self._send_window > MAX_WINDOW_BYTES:
-                    raise codec.MalformedMessage(f"window of channel {self.local_id} past 2^32 - 1")
+                    raise ChannelViolation("window past 2^32 - 1")
                 self.multiplexer.schedule_write(self)
             case codec.ChannelRequest():
                 self._handle_request(message)
@@ -250,16 +254,18 @@
 
     def _take_from_window(self, data: bytes) -> None:
         if len(data) > self._receive_window:
-            raise codec.MalformedMessage(f"window overrun on channel {self.local_id}")
+            raise ChannelViolation("window overrun")
         if self._eof_received:
-            raise codec.MalformedMessage(f"data after the end of channel {self.local_id}")
+            raise ChannelViolation("data after the end")
         self._receive_window -= len(data)
 
     def _handle_request(self, message: codec.ChannelRequest) -> None:
         if message.name in (codec.MOVE, codec.BYE, codec.NOTE):
             if self.is_full:
-                raise codec.MalformedMessage(f"too many requests unread on channel {self.local_id}")
-            self._unread.append(replace(message, extra=message.extra[:MAX_KEPT_REQUEST_BYTES]))
+                raise ChannelViolation("too many requests unread")
+            if message.name == codec.NOTE and len(message.extra) < NOTE_BYTES:
+                raise ChannelViolation("a note without its number")
+            self._unread.append(replace(message, extra=message.extra[:NOTE_BYTES]))
             self._unread_requests += 1
         elif message.want_reply and self.remote_id is not None:
             self.multiplexer.enqueue(codec.ChannelFailure(self.remote_id))
@@ -532,7 +538,11 @@
                 channel = self._channels.get(message.recipient)
                 if channel is None or not channel.answered.is_set():
                     raise codec.MalformedMessage(f"unknown channel {message.recipient}")
-                channel.handle_message(message)
+                try:
+                    channel.handle_message(message)
+                except ChannelViolation as exc:
+                    log.warning("malformed channel", extra={"channel": channel.local_id, "error": str(exc)})
+                    channel.close()
 
     def _handle_open(self, message: codec.ChannelOpen) -> None:
         """Refuse an open, or pass its channel to `on_open`; raises MalformedMessage."""
