Refuse an inventory whole when any part of it is malformed

Any malformed row took its host off the list.

Cause: a CSV row with too few columns was filled up with defaults, and without a state a host is active. Rejected entries were left out one by one, so that a broken file was a valid, shorter list. Some broken parts passed unseen: hosts, vars or children that are no mappings, a YAML key twice, a header alone.

Fix: a file with any rejected entry is refused, and the last list stays in force; the parts above are rejected with their line. A host in several groups with the same details is no contradiction any more.

--- a/puffinford/server_list/inventory.py
+++ b/puffinford/server_list/inventory.py
@@ -1,6 +1,7 @@
 """Reads the inventory file of a configuration tool: CSV with a header, or YAML groups of hosts.
 
-Malformed entries are reported with file and line, and the others are used.
+Malformed entries are reported with file and line, and `InventoryFile` refuses a file that has any: what is
+left of a broken file says nothing about the hosts that it fails to name.
 """
 
 from __future__ import annotations
@@ -22,7 +23,8 @@
 
 POLL_INTERVAL_MS = 1_000.0  # between checks of the modification time and size of the file
 _LINES = "__lines__"  # key under which a mapping holds the line numbers of its keys
-NumberedEntry = tuple[int, Mapping[str, Any]]  # line number and values; no values where the row is malformed
+_GROUP_KEYS = ("hosts", "vars", "children")
+NumberedEntry = tuple[int, Mapping[str, Any] | BadEntry]  # line number, and values or what is wrong with them
 
 
 class BadInventory(Exception):
@@ -30,7 +32,18 @@
 
 
 class _LineNumberLoader(yaml.SafeLoader):
-    """The safe loader, with the line number of each key added to every mapping."""
+    """The safe loader, with the line number of each key added to every mapping, and no key twice in any."""
+
+    def compose_mapping_node(self, anchor: Any) -> yaml.MappingNode:
+        node = super().compose_mapping_node(anchor)
+        seen = set()
+        for key, _ in node.value:
+            if key.value in seen:
+                # Prevents the last of two hosts of one name from being taken without a word.
+                problem = f"{key.value!r} is listed twice"
+                raise yaml.constructor.ConstructorError(None, None, problem, key.start_mark)
+            seen.add(key.value if isinstance(key, yaml.ScalarNode) else id(key))
+        return node
 
     def construct_mapping(self, node: yaml.MappingNode, deep: bool = False) -> dict[Any, Any]:
         mapping = super().construct_mapping(node, deep)
@@ -42,9 +55,11 @@
     rows = csv.DictReader(text.splitlines(), strict=True)
     if "id" not in (rows.fieldnames or ()):
         raise BadInventory("the header has no column id")
+    columns = len(rows.fieldnames or ())
     for row in rows:
-        if None in row:
-            yield rows.line_num, {}
+        if None in row or None in row.values():
+            # A row without its last columns is cut, not a row of defaults.
+            yield rows.line_num, BadEntry(f"the row does not have {columns} columns")
         else:
             yield rows.line_num, {name: value.strip() for name, value in row.items() if value}
 
@@ -61,19 +76,36 @@
     for name, group in groups.items():
         if name == _LINES:
             continue
-        if not isinstance(group, dict) or not set(group) <= {"hosts", "vars", "children", _LINES}:
-            yield lines.get(name, 0), {}
+        if group is not None and not isinstance(group, dict):
+            yield lines.get(name, 0), BadEntry(f"group {name!r} is not a mapping")
             continue
+        group = group or {_LINES: {}}
+        yield from _bad_keys(group)
         group_vars = {**inherited, **_mapping(group, "vars")}
-        hosts = _mapping(group, "hosts")
-        for ident, values in hosts.items():
-            if ident != _LINES:
-                host_vars = values if isinstance(values, dict) else {} if values is None else {"id": None}
-                yield (
-                    hosts[_LINES].get(str(ident), lines.get(name, 0)),
-                    {"id": ident, **group_vars, **host_vars},
-                )
-        yield from _groups({_LINES: {}, **_mapping(group, "children")}, group_vars)
+        yield from _hosts(_mapping(group, "hosts"), group_vars)
+        yield from _groups(_mapping(group, "children"), group_vars)
+
+
+def _bad_keys(group: Mapping[str, Any]) -> Iterator[NumberedEntry]:
+    for key, value in group.items():
+        line = group[_LINES].get(str(key), 0)
+        if key == _LINES:
+            continue
+        if key not in _GROUP_KEYS:
+            yield line, BadEntry(f"{key!r} is not one of {', '.join(_GROUP_KEYS)}")
+        elif value is not None and not isinstance(value, dict):
+            yield line, BadEntry(f"{key} is not a mapping")
+
+
+def _hosts(hosts: Mapping[str, Any], group_vars: Mapping[str, Any]) -> Iterator[NumberedEntry]:
+    for ident, values in hosts.items():
+        if ident == _LINES:
+            continue
+        line = hosts[_LINES].get(str(ident), 0)
+        if values is not None and not isinstance(values, dict):
+            yield line, BadEntry(f"host {ident!r} is not a mapping")
+        else:
+            yield line, {"id": ident, **group_vars, **(values or {})}
 
 
 def _mapping(group: Mapping[str, Any], name: str) -> Mapping[str, Any]:
@@ -103,9 +135,11 @@
     try:
         for line, entry in read(path.read_text(encoding="utf-8")):
             try:
+                if isinstance(entry, BadEntry):
+                    raise entry
                 parsed = parse_entry(_with_address(entry), start_of)
-                if parsed.server.id in entries:
-                    raise BadEntry(f"id {parsed.server.id!r} is listed twice")
+                if entries.get(parsed.server.id, parsed) != parsed:
+                    raise BadEntry(f"id {parsed.server.id!r} is listed twice with different details")
                 entries[parsed.server.id] = parsed
             except BadEntry as exc:
                 rejected.append(f"{path}:{line}: {exc}")
@@ -114,6 +148,9 @@
         raise BadInventory(f"{path}:{line}: {exc.problem}") from None
     except (OSError, ValueError, csv.Error, yaml.YAMLError, RecursionError, BadInventory) as exc:
         raise BadInventory(f"{path}: {exc}") from None
+    if not entries and not rejected:
+        # A file of which only the head is written is no order to remove all servers.
+        raise BadInventory(f"{path}: no host is listed")
     return list(entries.values()), rejected
 
 
@@ -138,8 +175,15 @@
         self._version = 0
 
     def check(self) -> None:
-        """Raise BadInventory if the file cannot be read. For a start, where there is no earlier list."""
-        load(self._path, self._start_times.local_time)
+        """Raise BadInventory if the file is refused. For a start, where there is no earlier list."""
+        self._load_whole()
+
+    def _load_whole(self) -> list[ServerEntry]:
+        """Read the file; raises BadInventory, with a line for each malformed entry."""
+        entries, rejected = load(self._path, self._start_times.local_time)
+        if rejected:
+            raise BadInventory("\n".join(rejected))
+        return entries
 
     def _stamp(self) -> tuple[int, int] | None:
         """The modification time in ns and the size in bytes; None if the file is not accessible."""
@@ -150,16 +194,15 @@
         return stat.st_mtime_ns, stat.st_size
 
     def fetch(self) -> None:
-        """Read the file; if it cannot be read, the last list stays in use."""
+        """Read the file; if it is refused, the last list stays in use."""
         self._last_stamp = self._stamp()
         try:
-            entries, rejected = load(self._path, self._start_times.local_time)
+            entries = self._load_whole()
         except BadInventory as exc:
-            log.error("inventory unreadable", extra={"error": str(exc)})
+            for text in str(exc).splitlines():
+                log.error("inventory refused", extra={"error": text})
             self._on_list(None)
             return
-        for text in rejected:
-            log.warning("inventory entry rejected", extra={"error": text})
         self._version += 1
         log.info("inventory", extra={"file": str(self._path), "entries": len(entries)})
         self._on_list(ServerEntries(self._version, True, entries))
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -56,7 +56,14 @@
 
 @pytest.mark.parametrize(
     ("name", "text"),
-    [("i.txt", ""), ("i.csv", "name\nx\n"), ("i.yaml", "- a\n"), ("i.yaml", "a: [\n"), ("i.yaml", "\x00")],
+    [
+        ("i.txt", ""),
+        ("i.csv", "name\nx\n"),
+        ("i.yaml", "- a\n"),
+        ("i.yaml", "a: [\n"),
+        ("i.yaml", "\x00"),
+        ("i.yaml", "a:\n  hosts:\n    s-1: {addr: 127.0.0.1:81}\n    s-1: {addr: 127.0.0.1:82}\n"),
+    ],
 )
 def test_what_is_no_inventory_says_so(name: str, text: str, tmp_path: Path) -> None:
     path = tmp_path / name
@@ -65,6 +72,50 @@
         load(path, lambda _, ms: ms)
 
 
+@pytest.mark.parametrize(
+    ("name", "text", "line"),
+    [
+        ("i.csv", "id,addr,state\ns-1,127.0.0.1:81,active\ns-2,127.0.0.1:82\n", 3),
+        ("i.csv", "id,addr,state\ns-1,127.0.0.1:81,active\ns-2,nowhere,active\n", 3),
+        ("i.csv", "id,addr,state\ns-1,127.0.0.1:81,active\ns-2,127.0.0.1:82,act\n", 3),
+        ("i.csv", "id,addr,state\ns-1,127.0.0.1:81,active\ns-1,127.0.0.1:81,leaving\n", 3),
+        ("i.yaml", "a:\n  hosts:\n    s-1: {addr: 127.0.0.1:81}\n    s-2: addr\n", 4),
+        ("i.yaml", "a:\n  hosts:\n    s-1: {addr: 127.0.0.1:81}\n  vars: zone\n", 4),
+        ("i.yaml", "a:\n  hosts:\n    s-1: {addr: 127.0.0.1:81}\n  chil: {}\n", 4),
+        ("i.yaml", "a:\n  hosts: {s-1: {addr: 127.0.0.1:81}}\nb:\n  hosts: {s-1: {addr: 127.0.0.1:82}}\n", 4),
+        ("i.yaml", "a:\n  hosts: {s-1: {addr: 127.0.0.1:81}}\nb: c\n", 3),
+    ],
+)
+def test_a_file_of_which_any_part_is_malformed_is_refused_whole(
+    name: str, text: str, line: int, tmp_path: Path
+) -> None:
+    """Guards against a broken file that drops hosts from the list, or lists a leaving one as active."""
+    path = tmp_path / name
+    path.write_text(text)
+    lists: list[ServerEntries | None] = []
+    file = InventoryFile(path, SettableClock(), lists.append)
+    with pytest.raises(BadInventory, match=f"^{path}:{line}: "):
+        file.check()
+    file.fetch()
+    assert lists == [None]
+
+
+@pytest.mark.parametrize(("name", "text"), [("i.csv", "id,addr,state\n"), ("i.yaml", "a:\n  hosts:\n")])
+def test_a_file_that_lists_no_host_is_refused(name: str, text: str, tmp_path: Path) -> None:
+    """Guards against taking a file of which only the head is written for one without servers."""
+    path = tmp_path / name
+    path.write_text(text)
+    with pytest.raises(BadInventory, match="no host is listed"):
+        InventoryFile(path, SettableClock(), print).check()
+
+
+def test_a_host_in_two_groups_with_the_same_details_is_listed_once(tmp_path: Path) -> None:
+    path = tmp_path / "i.yaml"
+    path.write_text("a: {hosts: {s-1: {addr: 127.0.0.1:81}}}\nb: {hosts: {s-1: {addr: 127.0.0.1:81}}}\nc:\n")
+    entries, rejected = load(path, lambda _, ms: ms)
+    assert [entry.server.id for entry in entries] == ["s-1"] and not rejected
+
+
 @pytest.mark.anyio
 async def test_a_changed_file_is_read_again_and_a_broken_one_leaves_the_last_list(tmp_path: Path) -> None:
     path = tmp_path / "i.csv"
