Take an inventory only once its save is complete

Callers saw: a save longer than the second between two looks at the file was taken in parts. Where the cut left it well-formed, a leaving server was active again, a server had another port (`127.0.0.1:8`), or hosts were off the list.

Cause: the file was read as soon as its time or size differed.

Fix: it is read 0.25 s after its last change. While a process has it open for writing (a lease tells), or it has no newline at its end, or tells less than the list in force, it waits until 3.2 s after its last change, or the drain grace and 0.25 s where that is shorter. A start waits for a save in progress. The reader of the file and its watch are two modules now.

A case of test_inventory.py replaces the only host; its file now rests for the 3.2 s before the same check.

--- a/puffinford/cli/__init__.py
+++ b/puffinford/cli/__init__.py
@@ -78,15 +78,15 @@
 def print_inventory(file: Path) -> None:
     """Read an inventory file and print its entries and the rejected lines."""
     try:
-        entries, rejected = inventory.load(file, StartTimes(Clock()).local_time)
+        loaded = inventory.load(file, StartTimes(Clock()).local_time)
     except inventory.BadInventory as exc:
         return fail(str(exc))
-    for entry in entries:
+    for entry in loaded.entries:
         server = entry.server
         line = f"{server.id} {entry.host}:{entry.port} {entry.front} {server.state.value} {server.zone}"
         click.echo(line.strip())
-    if rejected:
-        fail("\n".join(rejected), 1)
+    if loaded.rejected:
+        fail("\n".join(loaded.rejected), 1)
 
 
 @puffinford.command()
@@ -125,7 +125,7 @@
             errors += [text for text in str(exc).splitlines() if text not in errors]
     if inventory_file is not None:
         try:
-            errors += inventory.load(inventory_file, start_times.local_time)[1]
+            errors += inventory.load(inventory_file, start_times.local_time).rejected
         except inventory.BadInventory as exc:
             errors.append(str(exc))
     if errors:
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -97,7 +97,7 @@
         start = self._keeper.start(config.known)
         self._list = ListClient(exchange, start, clock, self._keeper.record_list, start_times)
         if config.inventory is not None:
-            self._list.read(config.inventory)
+            self._list.read(config.inventory, config.settings.drain_grace)
         else:
             assert config.discovery is not None
             always_subscribed = not config.settings.list_on_request
--- a/puffinford/server_list/inventory.py
+++ b/puffinford/server_list/inventory.py
@@ -1,27 +1,23 @@
 """Reads the inventory file of a configuration tool: CSV with a header, or YAML groups of hosts.
 
-Malformed entries are reported with file and line, and `InventoryFile` refuses a file that has any: what is
-left of a broken file says nothing about the hosts that it fails to name.
+Malformed entries are reported with file and line. A file that has any is to be refused: what is left of a
+broken file says nothing about the hosts that it fails to name.
 """
 
 from __future__ import annotations
 
 import csv
-import logging
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import yaml
 
-from puffinford.core.clock import Clock
-from puffinford.core.start_times import StartTimeLookup, StartTimes
-from puffinford.core.values import ServerEntries, ServerEntry
+from puffinford.core.start_times import StartTimeLookup
+from puffinford.core.values import ServerEntry
 from puffinford.server_list.entries import BadEntry, parse_entry
 
-log = logging.getLogger(__name__)
-
-POLL_INTERVAL_MS = 1_000.0  # between checks of the modification time and size of the file
 _LINES = "__lines__"  # key under which a mapping holds the line numbers of its keys
 _GROUP_KEYS = ("hosts", "vars", "children")
 NumberedEntry = tuple[int, Mapping[str, Any] | BadEntry]  # line number, and values or what is wrong with them
@@ -31,6 +27,20 @@
     """The file is not an inventory; the text gives the reason."""
 
 
+@dataclass(slots=True)
+class Inventory:
+    """The content of a file. It is malformed if any entry was rejected."""
+
+    entries: list[ServerEntry] = field(default_factory=list)
+    rejected: list[str] = field(default_factory=list)  # `FILE:LINE: reason` for each malformed entry
+    given: dict[str, frozenset[str]] = field(default_factory=dict)  # names of the values given, by host
+    ends_with_newline: bool = True
+
+    def tells_less_than(self, earlier: Inventory) -> bool:
+        """Whether a host of an earlier content is missing, or a value that was given for it."""
+        return any(not names <= self.given.get(ident, frozenset()) for ident, names in earlier.given.items())
+
+
 class _LineNumberLoader(yaml.SafeLoader):
     """The safe loader, with the line number of each key added to every mapping, and no key twice in any."""
 
@@ -122,106 +132,41 @@
     return {**entry, "addr": f"{host}:{port}"}
 
 
-def load(path: Path, start_of: StartTimeLookup) -> tuple[list[ServerEntry], list[str]]:
-    """Read a file; returns its entries and a line `FILE:LINE: reason` for each rejected one.
-
-    `start_of` maps an id and a start in Unix ms to local time. Raises BadInventory.
-    """
+def load(path: Path, start_of: StartTimeLookup) -> Inventory:
+    """Read a file. `start_of` maps an id and a start in Unix ms to local time. Raises BadInventory."""
     read = {".csv": _csv_entries, ".yaml": _yaml_entries, ".yml": _yaml_entries}.get(path.suffix)
     if read is None:
         raise BadInventory(f"{path}: not a .csv, .yaml or .yml file")
-    entries: dict[str, ServerEntry] = {}
-    rejected = []
     try:
-        for line, entry in read(path.read_text(encoding="utf-8")):
-            try:
-                if isinstance(entry, BadEntry):
-                    raise entry
-                parsed = parse_entry(_with_address(entry), start_of)
-                if entries.get(parsed.server.id, parsed) != parsed:
-                    raise BadEntry(f"id {parsed.server.id!r} is listed twice with different details")
-                entries[parsed.server.id] = parsed
-            except BadEntry as exc:
-                rejected.append(f"{path}:{line}: {exc}")
+        text = path.read_text(encoding="utf-8")
+        inventory = _parse(path, read(text), start_of)
     except yaml.MarkedYAMLError as exc:
         line = exc.problem_mark.line + 1 if exc.problem_mark else 0
         raise BadInventory(f"{path}:{line}: {exc.problem}") from None
     except (OSError, ValueError, csv.Error, yaml.YAMLError, RecursionError, BadInventory) as exc:
         raise BadInventory(f"{path}: {exc}") from None
-    if not entries and not rejected:
+    if not inventory.entries and not inventory.rejected:
         # A file of which only the head is written is no order to remove all servers.
         raise BadInventory(f"{path}: no host is listed")
-    return list(entries.values()), rejected
-
-
-class InventoryFile:
-    """A server list source that reads the file at the start and whenever it has changed."""
-
-    def __init__(
-        self,
-        path: Path,
-        clock: Clock,
-        on_list: Callable[[ServerEntries | None], object],
-        start_times: StartTimes | None = None,
-    ) -> None:
-        """`on_list` receives each list, or None if the file cannot be read. `start_times` is shared by all
-        sources of lists in this process.
-        """
-        self._path = path
-        self._start_times = start_times or StartTimes(clock)
-        self._clock = clock
-        self._on_list = on_list
-        self._last_stamp: tuple[int, int] | None = None
-        self._version = 0
-
-    def check(self) -> None:
-        """Raise BadInventory if the file is refused. For a start, where there is no earlier list."""
-        self._load_whole()
-
-    def _load_whole(self) -> list[ServerEntry]:
-        """Read the file; raises BadInventory, with a line for each malformed entry."""
-        entries, rejected = load(self._path, self._start_times.local_time)
-        if rejected:
-            raise BadInventory("\n".join(rejected))
-        return entries
-
-    def _stamp(self) -> tuple[int, int] | None:
-        """The modification time in ns and the size in bytes; None if the file is not accessible."""
-        try:
-            stat = self._path.stat()
-        except OSError:
-            return None
-        return stat.st_mtime_ns, stat.st_size
-
-    def fetch(self) -> None:
-        """Read the file; if it is refused, the last list stays in use."""
-        self._last_stamp = self._stamp()
+    inventory.ends_with_newline = text.endswith("\n")
+    return inventory
+
+
+def _parse(path: Path, entries: Iterator[NumberedEntry], start_of: StartTimeLookup) -> Inventory:
+    parsed: dict[str, ServerEntry] = {}
+    inventory = Inventory()
+    for line, entry in entries:
         try:
-            entries = self._load_whole()
-        except BadInventory as exc:
-            for text in str(exc).splitlines():
-                log.error("inventory refused", extra={"error": text})
-            self._on_list(None)
-            return
-        self._version += 1
-        log.info("inventory", extra={"file": str(self._path), "entries": len(entries)})
-        self._on_list(ServerEntries(self._version, True, entries))
-
-    def refresh(self) -> bool:
-        """Read the file if it has changed; returns False, as no answer is pending."""
-        if self._stamp() != self._last_stamp:
-            self.fetch()
-        return False
-
-    def subscribe(self, on: bool) -> None:
-        """Read the file if `on`; `run` checks it for changes in either case."""
-        if on:
-            self.fetch()
-
-    async def run(self) -> None:
-        """Read the file, and again after each change, until cancelled."""
-        self.fetch()
-        while True:
-            await self._clock.sleep(POLL_INTERVAL_MS)
-            if self._stamp() != self._last_stamp:
-                self.fetch()
+            if isinstance(entry, BadEntry):
+                raise entry
+            server_entry = parse_entry(_with_address(entry), start_of)
+            ident = server_entry.server.id
+            if parsed.setdefault(ident, server_entry) != server_entry:
+                raise BadEntry(f"id {ident!r} is listed twice with different details")
+            inventory.given[ident] = frozenset(
+                name for name, value in entry.items() if value not in (None, "")
+            )
+        except BadEntry as exc:
+            inventory.rejected.append(f"{path}:{line}: {exc}")
+    inventory.entries = list(parsed.values())
+    return inventory
--- a/puffinford/state/list_client.py
+++ b/puffinford/state/list_client.py
@@ -15,7 +15,7 @@
 from puffinford.core.start_times import StartTimes
 from puffinford.core.values import RestoredState, ServerEntries
 from puffinford.server_list.discovery import DiscoveryWatch
-from puffinford.server_list.inventory import InventoryFile
+from puffinford.server_list.inventory_file import InventoryFile
 from puffinford.state.recovery import ListValidator, StartState
 
 log = logging.getLogger(__name__)
@@ -77,9 +77,12 @@
             discovery, self._version, self._clock, self._take, always_subscribed, rng, relays, self._starts
         )
 
-    def read(self, inventory: Path) -> None:
-        """Use an inventory file as the source; raises what `InventoryFile.check` raises."""
-        self.source = InventoryFile(inventory, self._clock, self._take, self._starts)
+    def read(self, inventory: Path, drain_grace: float) -> None:
+        """Use an inventory file as the source; raises what `InventoryFile.check` raises.
+
+        `drain_grace` is in ms, see `InventoryFile`.
+        """
+        self.source = InventoryFile(inventory, self._clock, self._take, self._starts, drain_grace)
         self.source.check()
 
     def change_address(self, discovery: tuple[str, int], *, changed: bool) -> None:
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -10,7 +10,8 @@
 
 from puffinford.core.clock import SettableClock
 from puffinford.core.values import ServerEntries
-from puffinford.server_list.inventory import BadInventory, InventoryFile, load
+from puffinford.server_list.inventory import BadInventory, load
+from puffinford.server_list.inventory_file import CHECK_INTERVAL_MS, InventoryFile
 
 CSV = """id,addr,zone,front,state,weight
 s-1,127.0.0.1:81,boa,channels,,2
@@ -41,17 +42,19 @@
 def test_both_forms_give_the_same_entries(name: str, text: str, bad: list[int], tmp_path: Path) -> None:
     path = tmp_path / name
     path.write_text(text)
-    entries, rejected = load(path, lambda _, ms: ms)
+    inventory = load(path, lambda _, ms: ms)
     loaded = [
         (entry.server.id, entry.host, entry.port, entry.front, entry.server.state.value, entry.server.weight)
-        for entry in entries
+        for entry in inventory.entries
     ]
     assert loaded == [
         ("s-1", "127.0.0.1", 81, "channels", "live", 2.0),
         ("s-3", "127.0.0.2", 82, "lines", "draining", 1.0),
     ]
-    assert [text.rsplit(": ", 1)[0].split(":")[1] for text in rejected] == [str(line) for line in bad]
-    assert all(text.startswith(f"{path}:") for text in rejected)
+    assert [text.rsplit(": ", 1)[0].split(":")[1] for text in inventory.rejected] == [
+        str(line) for line in bad
+    ]
+    assert all(text.startswith(f"{path}:") for text in inventory.rejected)
 
 
 @pytest.mark.parametrize(
@@ -112,8 +115,8 @@
 def test_a_host_in_two_groups_with_the_same_details_is_listed_once(tmp_path: Path) -> None:
     path = tmp_path / "i.yaml"
     path.write_text("a: {hosts: {s-1: {addr: 127.0.0.1:81}}}\nb: {hosts: {s-1: {addr: 127.0.0.1:81}}}\nc:\n")
-    entries, rejected = load(path, lambda _, ms: ms)
-    assert [entry.server.id for entry in entries] == ["s-1"] and not rejected
+    inventory = load(path, lambda _, ms: ms)
+    assert [entry.server.id for entry in inventory.entries] == ["s-1"] and not inventory.rejected
 
 
 @pytest.mark.anyio
@@ -128,8 +131,9 @@
             await anyio.wait_all_tasks_blocked()
             path.write_text(text)
             os.utime(path, ns=(0, len(lists) + 1))
-            clock.advance(1_000.0)
-        await anyio.wait_all_tasks_blocked()
+            for _ in range(35):  # a list that no longer has s-1 rests for 3.2 s
+                clock.advance(CHECK_INTERVAL_MS)
+                await anyio.wait_all_tasks_blocked()
         tasks.cancel_scope.cancel()
     assert [servers and [entry.server.id for entry in servers.entries] for servers in lists] == [
         ["s-1"],
