Show which inventory is in force, and why a later one is not

Need: an operator saw a refused or unfinished file in the log alone, and not which version was in force, since when, or that a refusal still stood.

Change: GET /admin/inventory tells version, entries and age of what is in force, and state, reason and age of a later content; two gauges in the stats.

With real processes: a leaving server gets no client while its YAML entry is half-written and held open, nor after it was closed malformed, and the call names what holds it off.

--- a/puffinford/management/admin_api.py
+++ b/puffinford/management/admin_api.py
@@ -22,7 +22,8 @@
     """Answers calls of the admin API.
 
     `missing` returns what this process still lacks before it can serve, or an empty text when it is ready.
-    `extra_handlers` answer the calls under /admin/NAME, by that name.
+    `extra_handlers` answer the calls under /admin/NAME, by that name. `extra_gauges` join the
+    exchange's.
     """
 
     def __init__(
@@ -31,8 +32,10 @@
         cordons: Cordons,
         missing: Callable[[], str],
         extra_handlers: Mapping[str, AdminHandler] | None = None,
+        extra_gauges: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         self._extra_handlers = extra_handlers or {}
+        self._extra_gauges = extra_gauges
         self._exchange = exchange
         self._cordons = cordons
         self._missing = missing
@@ -74,5 +77,6 @@
             f"app.requests.{cls}.{count.value}:{number}|c"
             for cls, count, number in self._exchange.counters.counts()
         ]
-        lines += [f"app.{name}:{number}|g" for name, number in self._exchange.gauges().items()]
+        gauges = {**self._exchange.gauges(), **self._extra_gauges()}
+        lines += [f"app.{name}:{number}|g" for name, number in gauges.items()]
         return Reply(200, "\n".join(lines))
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import anyio
 import anyio.abc
@@ -32,12 +32,14 @@
     raise_descriptor_limit,
 )
 from puffinford.listening import BoundListeners, Front, ListenerManager
-from puffinford.management.admin_api import AdminApi
+from puffinford.management.admin_api import AdminApi, AdminHandler
 from puffinford.management.cordons import Cordons
 from puffinford.management.http import HttpCallHandler
+from puffinford.management.inventory_report import InventoryReport
 from puffinford.management.versions import VersionRegistry
 from puffinford.rebalance.service import Rebalancer, planner_settings
 from puffinford.server_list.endpoints import rendezvous_order
+from puffinford.server_list.inventory_file import InventoryFile
 from puffinford.state.keeper import StateKeeper, store_file
 from puffinford.state.list_client import ListClient
 
@@ -112,10 +114,7 @@
         mgmt_tracker = ConnectionTracker(clock, DescriptorBudget(MAX_MGMT_DESCRIPTORS + 1, 0), idle_divisor=1)
         path = state_path(config.state, config.name)
         self._cordons = Cordons(path, self._exchange.cordon)
-        extras = {"rebalance": self._rebalancer.handle_call}
-        http_handler = HttpCallHandler(
-            AdminApi(self._exchange, self._cordons, self._lacking, extras).answer, mgmt_tracker
-        )
+        http_handler = HttpCallHandler(self._admin_api().answer, mgmt_tracker)
         management = Front("management", http_handler.handle, mgmt_tracker, MGMT_ACCEPTS_PER_TURN)
         self._listeners = ListenerManager(config, clock, lines, channels, management, self._may_accept)
         self._versions = VersionRegistry(path)
@@ -132,6 +131,14 @@
         self._ready = False
         self._started_at = clock.now()
 
+    def _admin_api(self) -> AdminApi:
+        handlers: dict[str, AdminHandler] = {"rebalance": self._rebalancer.handle_call}
+        gauges: Callable[[], Mapping[str, int]] = dict
+        if isinstance(self._list.source, InventoryFile):
+            report = InventoryReport(self._list.source, self._clock)
+            handlers["inventory"], gauges = report.handle_call, report.gauges
+        return AdminApi(self._exchange, self._cordons, self._lacking, handlers, gauges)
+
     async def run(self) -> None:
         """Serve until a signal ends the process."""
         handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
--- a/puffinford/server_list/inventory_file.py
+++ b/puffinford/server_list/inventory_file.py
@@ -57,7 +57,7 @@
         A file that may be incomplete waits no longer than `drain_grace`, for which a server may get new work
         after it was announced as draining, and REST_MS. In ms.
         """
-        self._path = path
+        self.path = path
         self._start_times = start_times or StartTimes(clock)
         self._clock = clock
         self._on_list = on_list
@@ -76,7 +76,7 @@
         Waits for the end of a save, for MAX_SAVE_MS at most. It blocks, as nothing is served yet.
         """
         deadline = time.monotonic() + MAX_SAVE_MS / 1000.0
-        while has_writer(self._path) and time.monotonic() < deadline:
+        while has_writer(self.path) and time.monotonic() < deadline:
             time.sleep(WRITER_POLL_S)
         self._stamp, self._judged = self._read_stamp(), True
         self._put_in_force(self._load_whole())
@@ -106,7 +106,7 @@
     def _read_stamp(self) -> _FileStamp | None:
         """The stamp of the file; None if it is not accessible."""
         try:
-            stat = self._path.stat()
+            stat = self.path.stat()
         except OSError:
             return None
         return stat.st_ino, stat.st_mtime_ns, stat.st_size
@@ -130,7 +130,7 @@
 
     def _why_incomplete(self) -> str:
         """Why the file may still be written; empty if nothing says so, or if it is malformed as it is."""
-        if has_writer(self._path):
+        if has_writer(self.path):
             return "a process has it open for writing"
         inventory = self._load()
         if inventory is None:
@@ -152,7 +152,7 @@
 
     def _load_whole(self) -> Inventory:
         """Read the file; raises BadInventory, with a line for each malformed entry."""
-        inventory = load(self._path, self._start_times.local_time)
+        inventory = load(self.path, self._start_times.local_time)
         if inventory.rejected:
             raise BadInventory("\n".join(inventory.rejected))
         return inventory
@@ -177,7 +177,7 @@
             self.status.version + 1, len(inventory.entries), taken_at=self._clock.now()
         )
         fields = {"version": self.status.version, "entries": self.status.entries}
-        log.info("inventory", extra={"file": str(self._path), **fields})
+        log.info("inventory", extra={"file": str(self.path), **fields})
 
     def _pass_on(self) -> None:
         if self._in_force is None:
@@ -188,7 +188,7 @@
     def _wait(self, problem: str) -> None:
         if (self.status.problem, self.status.since) != (problem, self._changed_at):
             self.status = replace(self.status, problem=problem, is_refused=False, since=self._changed_at)
-            log.info("inventory waiting", extra={"file": str(self._path), "why": problem})
+            log.info("inventory waiting", extra={"file": str(self.path), "why": problem})
 
     def _refuse(self) -> None:
         self.status = replace(self.status, problem=self._error, is_refused=True, since=self._changed_at)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,19 +3,20 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import json
 import os
 import signal
 import subprocess
 import sys
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import anyio
 import pytest
 
 from puffinford.fronts.channels import codec
-from tests.harness import ChannelPeer, Peer, answering, discovery, echo, harness, opening, program
+from tests.harness import ChannelPeer, Peer, answering, discovery, echo, harness, http_call, opening, program
 
 FACTS: dict[str, Any] = {"classes": [{"name": "price-lookup", "give_up": 400.0, "repeat": "idempotent"}]}
 
@@ -51,6 +52,72 @@
             assert await process.wait() == 0
 
 
+@pytest.mark.anyio
+async def test_a_server_that_leaves_gets_no_client_while_its_inventory_is_saved_slowly(
+    tmp_path: Path,
+) -> None:
+    """Guards against openings at a leaving server whose entry is half-written, and against saying nothing."""
+    config, inventory = tmp_path / "config.json", tmp_path / "servers.yaml"
+    config.write_text(
+        json.dumps(
+            {"name": "n1", "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0", "seed": "0a", "settings": FACTS}
+        )
+    )
+
+    async def report() -> dict[str, Any]:
+        status, body = await http_call(management, "GET /admin/inventory")
+        assert status == 200
+        return cast(dict[str, Any], json.loads(body))
+
+    async def connect_many() -> set[bytes]:
+        answers = set()
+        for number in range(20):
+            client = Peer(await anyio.connect_tcp("127.0.0.1", port))
+            await client.send_line(opening(f"{next(ids):x}", b"c=price-lookup,d=2000,g=%d" % number))
+            answers.add(await client.line())
+            await client.fin()
+        return answers
+
+    ids = itertools.count(1)
+    async with harness() as here:
+        hosts = {}
+        for up in (b"UP r1", b"UP r2"):
+            listening = await here.listen(lambda s, up=up: answering(up, stay=True)(Peer(s)))  # type: ignore[misc]
+            hosts[up + b"\r\n"] = f"    s-{up[-1:].decode()}:\n      addr: 127.0.0.1:{listening}\n"
+        inventory.write_text("servers:\n  hosts:\n" + "".join(hosts.values()))
+        async with program(config, "serve", "--inventory", str(inventory)) as running:
+            port, management = await running.port(b"lines"), await running.port(b"management")
+            used = (await connect_many()).pop()  # it is to leave, and is listed last
+            (other,) = hosts.keys() - {used}
+            active = "servers:\n  hosts:\n" + hosts[other] + hosts[used]
+            leaving = active + "      state: leaving\n"
+            inventory.write_text(leaving)
+            await running.wait_for_log(b"event=inventory .*version=2")
+            assert await connect_many() == {other}
+            with inventory.open("w") as file:
+                file.write(active)
+                file.flush()
+                await running.wait_for_log(b'event="inventory waiting"')
+                assert (await report())["why"] == ["a process has it open for writing"]
+                assert await connect_many() == {other}
+                file.write("      state: lea")
+            await running.wait_for_log(b'event="inventory refused"')
+            refused = await report()
+            assert (refused["state"], refused["version"], refused["entries"]) == ("refused", 2, 2)
+            assert refused["why"] == [f"{inventory}:5: state 'lea' is unknown"]
+            assert "app.inventory_refused:1|g" in (await http_call(management, "GET /admin/stats"))[1]
+            assert await connect_many() == {other}
+            inventory.write_text(leaving)
+            await running.wait_for_log(b"event=inventory .*version=3")
+            assert (await report())["state"] == "in-force"
+            running.process.send_signal(signal.SIGINT)
+            assert await running.process.wait() == 0
+        inventory.write_text(leaving[:-5])
+        async with program(config, "serve", "--inventory", str(inventory)) as running:
+            await running.wait_for_log(f"puffinford: {inventory}:5: ".encode())
+            assert await running.process.wait() == 2
+
+
 @pytest.mark.anyio
 async def test_a_reload_is_whole_or_not_at_all_and_sigterm_still_moves_everyone(tmp_path: Path) -> None:
     """Guards against a reload that ends the process or its connections."""
