Keep unread lines as bytes and not as one object each

What was wrong: a peer that sends short lines made the balancer keep fifteen times their bytes, 241 KB for a chunk of 16 KiB, on every connection and every channel. No caller saw it; the limits count bytes, and this is their cost.

Cause: LineReader split all that it was fed and queued the lines.

Fix: it keeps the bytes and finds the next line when it is asked for one, and searches no byte twice.

test_short_lines_take_no_more_memory_than_their_bytes failed before: 221,184 bytes were kept for 15,000.

--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -13,7 +13,6 @@
 import resource
 import socket
 import struct
-from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -294,33 +293,43 @@
 
 
 class LineReader:
-    """Splits a stream of bytes into lines with their ends, and lines over MAX_LINE_BYTES into pieces."""
+    """Splits a stream of bytes into lines with their ends, and lines over MAX_LINE_BYTES into pieces.
+
+    Keeps bytes and not lines, so that short lines take no more memory than long ones.
+    """
 
     def __init__(self) -> None:
-        self._lines: deque[bytes] = deque()
-        self._partial_line = b""
+        self._buffer = bytearray()
+        self._searched = 0  # bytes of the buffer that hold no line end
 
     def feed(self, chunk: bytes) -> None:
         """Add received bytes."""
-        *complete, self._partial_line = (self._partial_line + chunk).split(b"\n")
-        self._lines.extend(line + b"\n" for line in complete)
-        if len(self._partial_line) >= MAX_LINE_BYTES:
-            self._lines.append(self._partial_line)
-            self._partial_line = b""
+        self._buffer += chunk
 
     def next(self) -> bytes | None:
         """Return the next line, or None if no line is complete."""
-        return self._lines.popleft() if self._lines else None
+        size = self._buffer.find(b"\n", self._searched) + 1
+        if not size:
+            self._searched = len(self._buffer)
+            if self._searched < MAX_LINE_BYTES:
+                return None
+            size = self._searched
+        return self._take(size)
 
     @property
     def pending(self) -> bool:
         """Whether any fed bytes have not been returned."""
-        return bool(self._lines or self._partial_line)
+        return bool(self._buffer)
 
     def partial_line(self) -> bytes:
         """Remove and return the bytes after the last line end, for the end of the stream."""
-        partial_line, self._partial_line = self._partial_line, b""
-        return partial_line
+        return self._take(len(self._buffer))
+
+    def _take(self, size: int) -> bytes:
+        taken = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        self._searched = 0
+        return taken
 
 
 def socket_address(host: str, port: int) -> tuple[socket.AddressFamily, tuple[str, int]]:
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 import socket
+import tracemalloc
 
 import anyio
 import pytest
@@ -19,7 +20,7 @@
 from puffinford.fronts.connecting import connect
 from puffinford.fronts.lines.client import PING_IDLE_TIMEOUT_MS
 from puffinford.fronts.lines.connection import LineConnection
-from puffinford.fronts.sockets import LINGER_TIMEOUT_MS, DescriptorBudget
+from puffinford.fronts.sockets import LINGER_TIMEOUT_MS, MAX_LINE_BYTES, DescriptorBudget, LineReader
 from puffinford.logs import RateLimitedLog
 from tests.harness import ChannelPeer, Peer, answering, echo, harness, opening
 
@@ -259,6 +260,30 @@
     assert turns >= 200
 
 
+def test_short_lines_take_no_more_memory_than_their_bytes() -> None:
+    """Guards against an object for each waiting line: fifteen times the bytes, on every channel."""
+    reader, chunk = LineReader(), b"M\r\n" * 5_000
+    tracemalloc.start()
+    reader.feed(chunk)
+    kept_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert kept_bytes <= 2 * len(chunk)
+    assert [reader.next() for _ in range(5_001)] == [b"M\r\n"] * 5_000 + [None]
+
+
+def test_lines_come_out_the_same_however_the_stream_is_cut() -> None:
+    stream = b"\r\n" + b"M 1\r\n" * 3 + b"x" * 6_000 + b"\n" + b"rest"
+    for size in (1, 3, 4_096, 16_384):
+        reader, lines = LineReader(), []
+        for at in range(0, len(stream), size):
+            reader.feed(stream[at : at + size])
+            while (line := reader.next()) is not None:
+                lines.append(line)
+        assert b"".join(lines) == stream[:-4] and reader.partial_line() == b"rest" and not reader.pending
+        assert lines[:4] == [b"\r\n"] + [b"M 1\r\n"] * 3
+        assert all(len(line) < MAX_LINE_BYTES + size for line in lines)
+
+
 async def test_with_all_descriptors_in_use_newcomers_are_turned_away_and_the_others_go_on() -> None:
     """Guards against closing newcomers with their request unread: a RST instead of a retry-after."""
     async with harness() as here:
