Give other tasks their turn among the lines of a channel, as on the line front

Callers saw: nothing was served while one channel's window of short lines was passed on, 8,000 lines at most; no play with callers shows it.

Cause: the line front gives way after each 32 lines, the channel front, which splits lines in the same way, did not.

Fix: the count is part of LineReader, for both. The turn comes before a line is taken: a reader that is cancelled in it has taken none.

test_thousands_of_lines_in_one_piece_leave_the_others_their_turn, played on a channel too, failed before with 0 turns in 8,000 lines (200 wanted).

--- a/puffinford/fronts/channels/connection.py
+++ b/puffinford/fronts/channels/connection.py
@@ -25,6 +25,7 @@
 
     async def receive(self) -> Message:
         """Return the next message; raises PeerClosed or ConnectionBroken."""
+        await self._reader.yield_turn()
         while (line := self._reader.next()) is None:
             try:
                 item = await self._channel.receive()
--- a/puffinford/fronts/lines/connection.py
+++ b/puffinford/fronts/lines/connection.py
@@ -4,11 +4,9 @@
 
 from collections.abc import Callable
 
-from anyio.lowlevel import checkpoint
-
 from puffinford.core.values import Busy, Failed, Message, PeerClosed, Up
 from puffinford.fronts.lines import codec
-from puffinford.fronts.sockets import MAX_LINES_PER_TURN, LineReader, TcpStream
+from puffinford.fronts.sockets import LineReader, TcpStream
 
 
 class LineConnection:
@@ -17,7 +15,6 @@
     def __init__(self, stream: TcpStream) -> None:
         self._stream = stream
         self._reader = LineReader()
-        self._lines_read = 0
 
     @property
     def pending(self) -> bool:
@@ -29,6 +26,7 @@
 
         `on_activity` is called at each chunk. Raises PeerClosed or ConnectionBroken.
         """
+        await self._reader.yield_turn()
         while (line := self._reader.next()) is None:
             try:
                 self._reader.feed(await self._stream.read())
@@ -39,10 +37,6 @@
                 if not partial_line:
                     raise
                 return partial_line
-        self._lines_read += 1
-        if self._lines_read % MAX_LINES_PER_TURN == 0:
-            # Prevents a peer that writes thousands of lines at once from starving other tasks.
-            await checkpoint()
         return line
 
     async def wait_for_data(self, on_activity: Callable[[], None]) -> None:
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -301,6 +301,7 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
         self._searched = 0  # bytes of the buffer that hold no line end
+        self._lines_read = 0
 
     def feed(self, chunk: bytes) -> None:
         """Add received bytes."""
@@ -316,6 +317,15 @@
             size = self._searched
         return self._take(size)
 
+    async def yield_turn(self) -> None:
+        """Let other tasks run after each MAX_LINES_PER_TURN lines; call it before each line is taken.
+
+        Prevents a peer that writes thousands of lines at once from starving other tasks.
+        """
+        self._lines_read += 1
+        if self._lines_read % MAX_LINES_PER_TURN == 0:
+            await checkpoint()
+
     @property
     def pending(self) -> bool:
         """Whether any fed bytes have not been returned."""
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -7,16 +7,19 @@
 import logging
 import socket
 import tracemalloc
+from typing import Any
 
 import anyio
 import pytest
 
+from puffinford.core.clock import SettableClock
 from puffinford.fronts.accepting import (
     MAX_CONCURRENT_REJECTIONS,
     REJECTION_READ_TIMEOUT_MS,
     ConnectionTracker,
 )
 from puffinford.fronts.channels import codec, multiplexer
+from puffinford.fronts.channels.connection import ChannelConnection
 from puffinford.fronts.connecting import connect
 from puffinford.fronts.lines.client import PING_IDLE_TIMEOUT_MS
 from puffinford.fronts.lines.connection import LineConnection
@@ -236,13 +239,16 @@
                     assert isinstance(await channel.next(), codec.Disconnect)
 
 
-async def test_thousands_of_lines_in_one_piece_leave_the_others_their_turn() -> None:
-    """Guards against passing on all lines of a chunk before other tasks run."""
+@pytest.mark.parametrize("front", ["lines", "channels"])
+async def test_thousands_of_lines_in_one_piece_leave_the_others_their_turn(front: str) -> None:
+    """Guards against passing on all lines of a chunk, or of a channel's window, before other tasks run."""
 
     class Flood:
         async def read(self) -> bytes:
             return b"\r\n" * 8_000
 
+        receive = read
+
     turns = 0
 
     async def others() -> None:
@@ -251,11 +257,12 @@
             await anyio.sleep(0)
             turns += 1
 
-    connection = LineConnection(Flood())  # type: ignore[arg-type]
+    flood: Any = Flood()
+    connection = LineConnection(flood) if front == "lines" else ChannelConnection(flood, SettableClock())
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(others)
         for _ in range(8_000):
-            await connection.read_line()
+            await connection.receive()
         tasks.cancel_scope.cancel()
     assert turns >= 200
 
