Let requests wait at their sender for a channel peer that does not read

Callers saw: a channel client that stopped reading while its server told its load lost its connection, with all its channels, at its next message ("too many answers unread"); the notes queued for it had no limit in memory.

Cause: data waits for the peer's window, a note was queued and its sender went on. The limit of 1,024 was looked at only when the peer sent something.

Fix: once 512 messages are queued, passing a request on waits for the writer.

The new test (120,000 notes for a client that does not read) failed before: the queue passed 1,024. Now no note is lost, and the client goes on.

--- a/puffinford/fronts/channels/connection.py
+++ b/puffinford/fronts/channels/connection.py
@@ -51,6 +51,7 @@
             await self._channel.send(message.data)
         else:
             await self._send_kind(message.kind, message.note)
+            await self._channel.multiplexer.wait_for_room()
 
     async def _send_kind(self, kind: MessageKind, note: float = 0.0) -> None:
         """Send the channel request for a kind of message, after the data before it."""
--- a/puffinford/fronts/channels/multiplexer.py
+++ b/puffinford/fronts/channels/multiplexer.py
@@ -31,6 +31,7 @@
 NOTE_BYTES = 4  # the number of a NOTE; no request's own data beyond it is kept
 RECEIVER_TURNS = 4  # turns of the event loop for a full channel's receiver to make room
 MAX_QUEUED_MESSAGES = 1_024  # messages to a peer that does not read
+MAX_FORWARDED_MESSAGES = 512  # of them, before requests that are passed on to the peer wait
 VERSION_TIMEOUT_MS = 2_700.0  # for a peer's version line, and for the rest of a CHANNEL_OPEN
 IDLE_TIMEOUT_MS = 10_000.0  # for a connection without a channel
 
@@ -327,6 +328,7 @@
         self._opens_in_write: deque[tuple[int, Channel]] = deque()
         self._writable_channels: deque[Channel] = deque()
         self._work_available = anyio.Event()
+        self._queue_emptied = anyio.Event()
         self.ready = anyio.Event()  # set when the peer's version has arrived or the connection closed
         self.closed = False
         self.last_read_at = clock.now()
@@ -348,6 +350,7 @@
             channels = list(self._channels.values())
             with anyio.CancelScope(shield=True):
                 await self._send_final_messages(error, channels)
+            self._queue_emptied.set()
             for channel in channels:
                 channel.handle_connection_loss()
             self._channels.clear()
@@ -652,6 +655,14 @@
         self._queued_messages.append(message)
         self._work_available.set()
 
+    async def wait_for_room(self) -> None:
+        """Wait while the queue is too long for further requests that are passed on.
+
+        Limits memory for a peer that does not read: no window limits the requests of the other side.
+        """
+        while len(self._queued_messages) >= MAX_FORWARDED_MESSAGES and not self.closed:
+            await self._queue_emptied.wait()
+
     def schedule_write(self, channel: Channel) -> None:
         """Let the writer send the channel's data and window adjustment."""
         if channel not in self._writable_channels:
@@ -687,6 +698,8 @@
             ) is not None:  # else refused before it was sent
                 batch += codec.encode(message)
                 self._opens_in_write.append((self._stream.accepted_bytes + len(batch), channel))
+        self._queue_emptied.set()
+        self._queue_emptied = anyio.Event()
         for _ in range(len(self._writable_channels)):
             channel = self._writable_channels.popleft()
             adjust = channel.next_window_adjust()
--- a/tests/test_channel_limits.py
+++ b/tests/test_channel_limits.py
@@ -4,12 +4,13 @@
 
 import socket
 from collections.abc import Callable
+from typing import Any, cast
 
 import anyio
 import pytest
 
 from puffinford.fronts.channels import codec, multiplexer
-from tests.harness import ChannelPeer, Harness, Peer, echo, harness, opening
+from tests.harness import ChannelPeer, Harness, Peer, echo, harness, opening, settings
 
 pytestmark = pytest.mark.anyio
 
@@ -218,6 +219,45 @@
         await check_served(neighbour)
 
 
+async def test_notes_for_a_channel_client_that_does_not_read_wait_at_their_server() -> None:
+    """Guards against a queue without limit, and against closing the client's channels for its length."""
+    notes = 120_000  # more than the system buffers for the client
+
+    async def script(peer: Peer) -> None:
+        await peer.line()
+        await peer.send_line(b"UP r1")
+        while await peer.line() not in (b"FIN", b"RST"):
+            await peer.stream.send(b"LOAD 7\r\n" * notes + b"end\r\n")
+
+    async with harness(settings(tells_delay=True)) as here:
+        await here.server("s-1", script)
+        raw = socket.socket()
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        raw.connect(("127.0.0.1", here.channel_port()))
+        client = await ChannelPeer(await anyio.abc.SocketStream.from_socket(raw)).hello()
+        await client.open(1, "01", window=LARGE_WINDOW)
+        up = await client.next()
+        assert isinstance(up, codec.OpenConfirmation)
+        (request,) = here.exchange._requests.values()
+        connection = cast(Any, request.client)._channel.multiplexer
+        await client.send_messages(codec.Data(up.sender, b"go\r\n"))
+        longest = rounds = 0  # rounds in which the writer waits for the client, and nothing more is queued
+        while rounds < 20 and longest <= multiplexer.MAX_QUEUED_MESSAGES:
+            await here.settle()
+            queued = len(connection._queued_messages)
+            rounds = rounds + 1 if connection._stream._unsent and queued == longest else 0
+            longest = max(longest, queued)
+        if longest > multiplexer.MAX_QUEUED_MESSAGES:
+            await anyio.aclose_forcefully(client.stream)  # else the harness waits for it
+        assert longest <= multiplexer.MAX_QUEUED_MESSAGES
+        await client.send_messages(codec.WindowAdjust(up.sender, 1))
+        note = codec.ChannelRequest(1, codec.NOTE, False, codec.uint32(7))
+        received = 0
+        while (message := await client.next()) == note:
+            received += 1
+        assert (received, message) == (notes, codec.Data(1, b"end\r\n"))
+
+
 NOTE = codec.uint32(7)
 # What a peer may send on a channel that cannot pass its data on, and what the log says of it.
 VIOLATIONS = [
