Decode channel data in one step, as a line may come in hundreds of messages

Need: a line in 752 pieces cost 5.2 to 5.4 ms of CPU time, one in 3,008 pieces 22 ms, where the line in one message takes about 0.2 ms.

Change: CHANNEL_DATA is read by one fixed layout and goes to its channel first; messages for a channel have a type of their own. Errors are as before.

--- a/puffinford/fronts/channels/codec.py
+++ b/puffinford/fronts/channels/codec.py
@@ -286,6 +286,11 @@
     | Unknown
 )
 
+# Messages for an established channel; `recipient` is its number at the receiver.
+ChannelMessage = (
+    WindowAdjust | Data | ExtendedData | Eof | Close | ChannelRequest | ChannelSuccess | ChannelFailure
+)
+
 _MESSAGE_CLASSES: dict[int, type] = {
     1: Disconnect,
     2: Ignore,
@@ -318,12 +323,16 @@
     for cls in _MESSAGE_CLASSES.values()
 }
 _MESSAGE_NUMBERS = {cls: number for number, cls in _MESSAGE_CLASSES.items()}
+_DATA_NUMBER = _MESSAGE_NUMBERS[Data]
+_DATA_HEADER = struct.Struct(">BII")  # number, recipient, bytes of data
 
 
 def decode(payload: bytes) -> Message:
     """Decode a payload; raises MalformedMessage."""
     reader = PayloadReader(payload)
     number = reader.byte()
+    if number == _DATA_NUMBER:
+        return _decode_data(payload)
     if 20 <= number <= 49:
         raise MalformedMessage("no key exchange here", KEY_EXCHANGE_FAILED)
     cls = _MESSAGE_CLASSES.get(number)
@@ -336,6 +345,17 @@
     return message
 
 
+def _decode_data(payload: bytes) -> Data:
+    """Decode CHANNEL_DATA in one step, as a line may come in hundreds of them; raises MalformedMessage."""
+    if len(payload) < _DATA_HEADER.size:
+        raise MalformedMessage("message too short")
+    _, recipient, size = _DATA_HEADER.unpack_from(payload)
+    data = payload[_DATA_HEADER.size :]
+    if len(data) != size:
+        raise MalformedMessage("message too short" if len(data) < size else "message too long")
+    return Data(recipient, data)
+
+
 def encode(message: Message) -> bytes:
     """Encode a message as one packet."""
     payload = bytearray((_MESSAGE_NUMBERS[type(message)],))
--- a/puffinford/fronts/channels/multiplexer.py
+++ b/puffinford/fronts/channels/multiplexer.py
@@ -221,7 +221,7 @@
         """Whether no further request can be buffered."""
         return self._unread_requests >= MAX_UNREAD_REQUESTS
 
-    def handle_message(self, message: codec.Message) -> None:
+    def handle_message(self, message: codec.ChannelMessage) -> None:
         """Apply a message for an answered channel; raises ChannelViolation."""
         match message:
             case codec.Eof():
@@ -505,6 +505,8 @@
     def _handle_message(self, message: codec.Message) -> None:
         """Apply a message to its channel or the connection; raises MalformedMessage."""
         match message:
+            case codec.Data() | codec.WindowAdjust():  # the most frequent
+                self._pass_to_channel(message)
             case codec.ChannelOpen():
                 self._handle_open(message)
             case codec.OpenConfirmation() | codec.OpenFailure():
@@ -538,14 +540,18 @@
             ):
                 pass
             case _:
-                channel = self._channels.get(message.recipient)
-                if channel is None or not channel.answered.is_set():
-                    raise codec.MalformedMessage(f"unknown channel {message.recipient}")
-                try:
-                    channel.handle_message(message)
-                except ChannelViolation as exc:
-                    log.warning("malformed channel", extra={"channel": channel.local_id, "error": str(exc)})
-                    channel.close()
+                self._pass_to_channel(message)
+
+    def _pass_to_channel(self, message: codec.ChannelMessage) -> None:
+        """Apply a message to its channel, which is closed if it breaks its rules; raises MalformedMessage."""
+        channel = self._channels.get(message.recipient)
+        if channel is None or not channel.answered.is_set():
+            raise codec.MalformedMessage(f"unknown channel {message.recipient}")
+        try:
+            channel.handle_message(message)
+        except ChannelViolation as exc:
+            log.warning("malformed channel", extra={"channel": channel.local_id, "error": str(exc)})
+            channel.close()
 
     def _handle_open(self, message: codec.ChannelOpen) -> None:
         """Refuse an open, or pass its channel to `on_open`; raises MalformedMessage."""
