Fill the client's buffers in the test on a MOVE that is not taken

Change: the test fills them until the system has refused ten tries in 0.1 s. What it asks for is the same: one such line after the limit, none before.

--- a/tests/test_final_messages.py
+++ b/tests/test_final_messages.py
@@ -8,7 +8,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, cast
 
 import anyio
 import anyio.abc
@@ -35,6 +35,21 @@
         await peer.send_line(bytes(4_000))
 
 
+async def fill_buffers(sock: socket.socket) -> None:
+    """Fill what the system buffers for a peer that does not read.
+
+    It may take some more a little later, without waking the writer.
+    """
+    refused = 0
+    while refused < 10:
+        try:
+            sock.send(bytes(4_000))
+            refused = 0
+        except BlockingIOError:
+            refused += 1
+            await anyio.sleep(0.01)
+
+
 async def read_to_end(peer: ChannelPeer) -> tuple[Counter[tuple[str, int]], bytes]:
     """Count the MOVE and CLOSE messages up to the end of the connection; return them and the end."""
     seen: Counter[tuple[str, int]] = Counter()
@@ -255,6 +270,9 @@
             await channel_client.open(1, "0a")
             assert isinstance(await channel_client.next(), codec.OpenConfirmation)
         await anyio.wait_all_tasks_blocked()
+        if front == "lines":
+            (request,) = here.exchange._requests.values()
+            await fill_buffers(cast(Any, request.client)._stream._sock)
         here.over = True
         await here.exchange.drain(0.0, 0.0)
         await here.settle()
