--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,10 +1,11 @@
-"""Rebalancing is on, and clients' keys are longer than 64 bits: a server dies and comes back."""
+"""A balancer starts with an old list: connections that stood at a newer server have to come up again."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
@@ -24,66 +25,76 @@
     trouble,
 )
 
-CLIENTS = 60
-DOWN_S = 6.0  # pages: back cold after 5.6 to 21 s
-PLAY_S = 40.0
+STANDING = 4
+SEED = (
+    "0000000000000098"  # its first call to discovery comes late in the 75 ms over which balancers spread it
+)
+TRIES = 4  # of a client: the first, and three more at once
+LIMIT_S = 40.0  # a standing connection that is not up by then is lost
+
+
+async def wait_for_pong(port: int) -> None:
+    """Ask as the front does, and return at the first PONG."""
+    for _ in range(6000):
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(b"PING\r\n")
+            line = await reader.readline()
+            writer.close()
+            if line == b"PONG\r\n":
+                return
+        await asyncio.sleep(0.005)
+    raise CannotRun("no PONG")
 
 
 async def play(case: Case) -> int:
-    """Let a server die and come back cold, and see whether the balancer goes on."""
+    """Start the balancer, and let the standing connections come as soon as it is admitted."""
     record = case.record
     discovery = Discovery(record)
     await discovery.start()
-    servers = [await LineServer(f"s-{n}", record).start() for n in range(1, 6)]
-    for server in servers:
+    servers = [await LineServer(f"s-{n}", record).start() for n in range(1, 5)]
+    newest = servers[-1]
+    for server in servers[:-1]:
         discovery.put(server.id, addr=server.address)
+    old = discovery.full_list()
+    discovery.put(newest.id, addr=newest.address)
     port = free_port()
-    operators = case.temporary / "puffinford.conf"
-    operators.write_text("section rebalance\n  enabled on\n")
     config = {
         "name": "n1",
         "listen": f"{HOST}:{port}",
         "discovery": discovery.address,
-        "seed": "8c1f",
-        "known": discovery.full_list(),
-        "settings": small_settings(),
+        "seed": os.environ.get("SEED", SEED),
+        "known": old if trouble() else discovery.full_list(),
+        "settings": small_settings(balancers=3),
     }
-    balancer = await case.start_balancer("n1", config, f"serve --settings {operators}")
-    await balancer.wait_ready(port)
+    balancer = await case.start_balancer("n1", config)
+    await wait_for_pong(port)
+    record.note("the front admits the balancer")
 
-    async def till(number: int) -> None:
-        key = f"9f3a9c21e0b4d655{number:016x}"  # 128 bits, as a UUID has
-        for visit in range(1000):
-            client = LineClient(record, f"c{number}-{visit}")
-            answer = await client.open(port, key=key, more=",again=1" if visit else "")
+    async def standing(number: int) -> LineClient | None:
+        for attempt in range(TRIES):
+            client = LineClient(record, f"c{number}-{attempt}")
+            answer = await client.open(port, d=10000, more=f",at={newest.id}")
             if answer.startswith("UP "):
-                while True:
-                    await client.send("line")
-                    if await client.line(5.0) != "line":
-                        break
-                    await asyncio.sleep(2.0)
+                return client
             client.close()
-            await asyncio.sleep(0.5)
+        return None
 
-    for number in range(CLIENTS):
-        case.spawn(till(number))
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(3.0)
-    if not servers[0].openings:
-        raise CannotRun("the server got no work before the disruption")
-    if trouble():
-        servers[0].die()
-        await asyncio.sleep(DOWN_S)
-        await servers[0].start()
-        discovery.put(servers[0].id, started_ms=int(time.time() * 1000.0))
-    end = record.now() + PLAY_S
-    while record.now() < end and not balancer.ended:
-        await asyncio.sleep(0.2)
-    moves = len(balancer.log_lines("rebalance move"))
-    record.note("count", moves=moves, ended=int(balancer.ended), code=balancer.process.returncode)
-    for line in balancer.log_lines("OverflowError")[-1:]:
-        record.note("log", line=line.strip(" |"))
-    return BROKEN if balancer.ended else HELD
+    begun = record.now()
+    clients = await asyncio.gather(*(standing(number) for number in range(STANDING)))
+    up = [client for client in clients if client is not None]
+    await asyncio.sleep(2.0)
+    later = await LineClient(record, "later").open(port)
+    for client in up:
+        await client.send("line")
+        if await client.line(1.0) != "line":
+            return BROKEN
+    record.note(
+        "count", standing=STANDING, up=len(up), seconds=round(record.now() - begun, 3), later=repr(later)
+    )
+    if balancer.ended or record.now() - begun > LIMIT_S:
+        return BROKEN
+    return HELD if len(up) == STANDING else BROKEN
 
 
 run_case(__file__, play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,10 +1,9 @@
-"""A balancer starts with an old list: connections that stood at a newer server have to come up again."""
+"""A new version starts while discovery is down: requests on the channel front still need their answers."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import os
+import socket
 import sys
 from pathlib import Path
 
@@ -16,8 +15,8 @@
     HOST,
     CannotRun,
     Case,
+    ChannelClient,
     Discovery,
-    LineClient,
     LineServer,
     free_port,
     run_case,
@@ -25,76 +24,67 @@
     trouble,
 )
 
-STANDING = 4
-SEED = (
-    "0000000000000098"  # its first call to discovery comes late in the 75 ms over which balancers spread it
-)
-TRIES = 4  # of a client: the first, and three more at once
-LIMIT_S = 40.0  # a standing connection that is not up by then is lost
-
-
-async def wait_for_pong(port: int) -> None:
-    """Ask as the front does, and return at the first PONG."""
-    for _ in range(6000):
-        with contextlib.suppress(OSError):
-            reader, writer = await asyncio.open_connection(HOST, port)
-            writer.write(b"PING\r\n")
-            line = await reader.readline()
-            writer.close()
-            if line == b"PONG\r\n":
-                return
-        await asyncio.sleep(0.005)
-    raise CannotRun("no PONG")
+WAIT_MS = 1000  # that each client gives its request
+SLACK_S = 0.5  # a final answer up to so long after the request's time is in time
+PAUSE_S = 0.1  # between two new connections: ten a second
+PLAY_S = 6.0
 
 
 async def play(case: Case) -> int:
-    """Start the balancer, and let the standing connections come as soon as it is admitted."""
+    """Keep opening channels while a second process of the balancer starts."""
     record = case.record
-    discovery = Discovery(record)
-    await discovery.start()
+    agent = Discovery(record)
+    await agent.start()
     servers = [await LineServer(f"s-{n}", record).start() for n in range(1, 5)]
-    newest = servers[-1]
-    for server in servers[:-1]:
-        discovery.put(server.id, addr=server.address)
-    old = discovery.full_list()
-    discovery.put(newest.id, addr=newest.address)
+    for server in servers:
+        agent.put(server.id, addr=server.address)
+
+    held = socket.create_server((HOST, 0), backlog=256)  # the platform's, for the lines
+    held.set_inheritable(True)
     port = free_port()
+    operators = case.temporary / "puffinford.conf"
+    operators.write_text(f"section channels\n  enabled on\n  listen {HOST}:{port}\n")
     config = {
         "name": "n1",
-        "listen": f"{HOST}:{port}",
-        "discovery": discovery.address,
-        "seed": os.environ.get("SEED", SEED),
-        "known": old if trouble() else discovery.full_list(),
-        "settings": small_settings(balancers=3),
+        "listen": "{}:{}".format(*held.getsockname()),
+        "discovery": agent.address,
+        "seed": "8c1f",
+        "known": agent.full_list(),
+        "settings": small_settings(discovery="automatic"),
     }
-    balancer = await case.start_balancer("n1", config)
-    await wait_for_pong(port)
-    record.note("the front admits the balancer")
+    arguments = f"serve --settings {operators}"
+    fds = (held.fileno(),)
+    env = {"EDGE_SOCKET_FD": str(held.fileno()), "EDGE_MGMT": f"{HOST}:{free_port()}"}
+    old = await case.start_balancer("n1", config, arguments, env, fds, log_name="old")
+    await old.wait_ready(held.getsockname()[1])
+    answer, _ = await ChannelClient(record, "first").open(port, "basket-sync", WAIT_MS, 5.0)
+    if answer != "UP":
+        raise CannotRun("the channel front does not serve before the disruption")
+    await asyncio.sleep(2.0)
 
-    async def standing(number: int) -> LineClient | None:
-        for attempt in range(TRIES):
-            client = LineClient(record, f"c{number}-{attempt}")
-            answer = await client.open(port, d=10000, more=f",at={newest.id}")
-            if answer.startswith("UP "):
-                return client
-            client.close()
-        return None
+    if trouble():
+        agent.set_down(True)
+    env["EDGE_MGMT"] = f"{HOST}:{free_port()}"
+    new = await case.start_balancer("n1", config, arguments, env, fds, log_name="new")
 
-    begun = record.now()
-    clients = await asyncio.gather(*(standing(number) for number in range(STANDING)))
-    up = [client for client in clients if client is not None]
-    await asyncio.sleep(2.0)
-    later = await LineClient(record, "later").open(port)
-    for client in up:
-        await client.send("line")
-        if await client.line(1.0) != "line":
-            return BROKEN
-    record.note(
-        "count", standing=STANDING, up=len(up), seconds=round(record.now() - begun, 3), later=repr(later)
-    )
-    if balancer.ended or record.now() - begun > LIMIT_S:
+    async def request(number: int) -> tuple[str, float]:
+        client = ChannelClient(record, f"q{number:03}")
+        result = await client.open(port, "basket-sync", WAIT_MS, 12.0)
+        client.close()
+        return result
+
+    tasks = []
+    for number in range(round(PLAY_S / PAUSE_S)):
+        tasks.append(asyncio.create_task(request(number)))
+        await asyncio.sleep(PAUSE_S)
+    results = await asyncio.gather(*tasks)
+    if old.ended or new.ended:
+        record.note("a process ended", old=old.process.returncode, new=new.process.returncode)
         return BROKEN
-    return HELD if len(up) == STANDING else BROKEN
+    limit = WAIT_MS / 1000.0 + SLACK_S
+    lost = [took for answer, took in results if took > limit or not answer.startswith(("UP", "FAILURE"))]
+    record.note("count", requests=len(results), lost=len(lost), longest_s=max(took for _, took in results))
+    return BROKEN if lost else HELD
 
 
 run_case(__file__, play)
