--- a/review/common_2.py
+++ b/review/common_2.py
@@ -263,9 +263,12 @@
     async def main() -> int:
         case = Case(folder)
         case.record.note("case", folder=folder.name, trouble=int(trouble()))
+        playing = asyncio.ensure_future(play(case))
+        for ending in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(ending, playing.cancel)
         try:
-            verdict = await asyncio.wait_for(play(case), CASE_LIMIT_S)
-        except Exception as exc:
+            verdict = await asyncio.wait_for(playing, CASE_LIMIT_S)
+        except (Exception, asyncio.CancelledError) as exc:
             case.record.note("could not run", why=repr(exc))
             verdict = COULD_NOT_RUN
         finally:
