Review: one case comes out, one has slow discovery, and the others are numbered anew

Case 7 hung on a window of 75 ms and a chosen seed. Change: case 8 (channel connections during a new version) goes, cases 9 and 10 are 8 and 9. In case 7 discovery takes 2.5 s a call, clients wait 190 ms between tries, and the verdict comes after 40 s.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,10 +1,9 @@
-"""A balancer starts with an old list: connections that stood at a newer server have to come up again."""
+"""An old list and slow discovery at the start: connections at a newer server have to come up again."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import os
 import sys
 from pathlib import Path
 
@@ -26,10 +25,9 @@
 )
 
 STANDING = 4
-SEED = (
-    "0000000000000098"  # its first call to discovery comes late in the 75 ms over which balancers spread it
-)
-TRIES = 4  # of a client: the first, and three more at once
+TRIES = 4  # of a client: the first, and three more
+RETRY_S = 0.19  # the fixed wait before each of them; the site's longest
+SLOW_S = 2.5  # that discovery takes for a call; the site gives one 3 s
 LIMIT_S = 40.0  # a standing connection that is not up by then is lost
 
 
@@ -63,10 +61,11 @@
         "name": "n1",
         "listen": f"{HOST}:{port}",
         "discovery": discovery.address,
-        "seed": os.environ.get("SEED", SEED),
-        "known": old if trouble() else discovery.full_list(),
+        "seed": "8c1f30d27a5be964",
+        "known": old,
         "settings": small_settings(balancers=3),
     }
+    discovery.delay_s = SLOW_S if trouble() else 0.0
     balancer = await case.start_balancer("n1", config)
     await wait_for_pong(port)
     record.note("the front admits the balancer")
@@ -78,12 +77,14 @@
             if answer.startswith("UP "):
                 return client
             client.close()
+            await asyncio.sleep(RETRY_S)
         return None
 
     begun = record.now()
     clients = await asyncio.gather(*(standing(number) for number in range(STANDING)))
     up = [client for client in clients if client is not None]
-    await asyncio.sleep(2.0)
+    # Nobody tries again, so that waiting cannot mend it; the rule gives 40 s all the same.
+    await asyncio.sleep(2.0 if len(up) == STANDING else max(2.0, begun + LIMIT_S - record.now()))
     later = await LineClient(record, "later").open(port)
     for client in up:
         await client.send("line")
@@ -92,9 +93,7 @@
     record.note(
         "count", standing=STANDING, up=len(up), seconds=round(record.now() - begun, 3), later=repr(later)
     )
-    if balancer.ended or record.now() - begun > LIMIT_S:
-        return BROKEN
-    return HELD if len(up) == STANDING else BROKEN
+    return HELD if len(up) == STANDING and not balancer.ended else BROKEN
 
 
 run_case(__file__, play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,9 +1,8 @@
-"""A new version starts while discovery is down: requests on the channel front still need their answers."""
+"""An old till's lines towards a channel server: every line has to arrive as it was sent."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
 import sys
 from pathlib import Path
 
@@ -15,75 +14,76 @@
     HOST,
     CannotRun,
     Case,
-    ChannelClient,
-    Discovery,
-    LineServer,
+    ChannelServer,
+    LineClient,
     free_port,
     run_case,
     small_settings,
     trouble,
+    write_whole,
 )
 
-WAIT_MS = 1000  # that each client gives its request
-SLACK_S = 0.5  # a final answer up to so long after the request's time is in time
-PAUSE_S = 0.1  # between two new connections: ten a second
-PLAY_S = 6.0
+CLIENTS = 4
+PAUSE_S = 2.0  # between a client's lines
+ANSWER_S = 6.0
+LINES = [
+    "PRICE 7891000100103",
+    "MOVE 3 to basket 2",
+    "STATUS open",
+    "LOAD 2.5",
+    "BYE 7891000100103",
+    "STATUS shut",
+]
 
 
 async def play(case: Case) -> int:
-    """Keep opening channels while a second process of the balancer starts."""
+    """Send each line on a connection of each client, and look for it at the servers and in the answer."""
     record = case.record
-    agent = Discovery(record)
-    await agent.start()
-    servers = [await LineServer(f"s-{n}", record).start() for n in range(1, 5)]
-    for server in servers:
-        agent.put(server.id, addr=server.address)
-
-    held = socket.create_server((HOST, 0), backlog=256)  # the platform's, for the lines
-    held.set_inheritable(True)
+    servers = [await ChannelServer(f"gw-{n}", record).start() for n in range(1, 3)]
+    inventory = case.temporary / "inventory.csv"
+    rows = "".join(f"{server.id},{server.address},channels\n" for server in servers)
+    write_whole(inventory, f"id,addr,front\n{rows}")
     port = free_port()
-    operators = case.temporary / "puffinford.conf"
-    operators.write_text(f"section channels\n  enabled on\n  listen {HOST}:{port}\n")
-    config = {
-        "name": "n1",
-        "listen": "{}:{}".format(*held.getsockname()),
-        "discovery": agent.address,
-        "seed": "8c1f",
-        "known": agent.full_list(),
-        "settings": small_settings(discovery="automatic"),
-    }
-    arguments = f"serve --settings {operators}"
-    fds = (held.fileno(),)
-    env = {"EDGE_SOCKET_FD": str(held.fileno()), "EDGE_MGMT": f"{HOST}:{free_port()}"}
-    old = await case.start_balancer("n1", config, arguments, env, fds, log_name="old")
-    await old.wait_ready(held.getsockname()[1])
-    answer, _ = await ChannelClient(record, "first").open(port, "basket-sync", WAIT_MS, 5.0)
-    if answer != "UP":
-        raise CannotRun("the channel front does not serve before the disruption")
-    await asyncio.sleep(2.0)
-
-    if trouble():
-        agent.set_down(True)
-    env["EDGE_MGMT"] = f"{HOST}:{free_port()}"
-    new = await case.start_balancer("n1", config, arguments, env, fds, log_name="new")
+    config = {"name": "n1", "listen": f"{HOST}:{port}", "seed": "8c1f", "settings": small_settings()}
+    balancer = await case.start_balancer("n1", config, f"serve --inventory {inventory}")
+    await balancer.wait_ready(port)
+    sent: list[str] = []
 
-    async def request(number: int) -> tuple[str, float]:
-        client = ChannelClient(record, f"q{number:03}")
-        result = await client.open(port, "basket-sync", WAIT_MS, 12.0)
-        client.close()
-        return result
+    async def till(number: int) -> None:
+        """Send the lines, and come back whenever the connection is moved or ends."""
+        visit = 0
+        client: LineClient | None = None
+        for line in LINES:
+            if client is None:
+                client = LineClient(record, f"c{number}-{visit}")
+                if not (await client.open(port, more=",again=1" if visit else "")).startswith("UP "):
+                    raise CannotRun("a client was not served")
+                visit += 1
+            # The disruption is the first word alone: with it, some lines look like the servers' own messages.
+            text = line if trouble() else f"ITEM {line}"
+            if line.startswith(("MOVE", "STATUS", "PRICE")):
+                text += f" of till {number}"
+            sent.append(text)
+            await client.send(text)
+            got = await client.line(ANSWER_S)
+            record.note("client asked", request=client.request, line=repr(text), got=repr(got))
+            if got != text:
+                client.close()
+                client = None
+            await asyncio.sleep(PAUSE_S)
 
-    tasks = []
-    for number in range(round(PLAY_S / PAUSE_S)):
-        tasks.append(asyncio.create_task(request(number)))
-        await asyncio.sleep(PAUSE_S)
-    results = await asyncio.gather(*tasks)
-    if old.ended or new.ended:
-        record.note("a process ended", old=old.process.returncode, new=new.process.returncode)
+    await asyncio.gather(*(till(number) for number in range(CLIENTS)))
+    if balancer.ended:
         return BROKEN
-    limit = WAIT_MS / 1000.0 + SLACK_S
-    lost = [took for answer, took in results if took > limit or not answer.startswith(("UP", "FAILURE"))]
-    record.note("count", requests=len(results), lost=len(lost), longest_s=max(took for _, took in results))
+    arrived = b"".join(server.data for server in servers).decode("latin-1").splitlines()
+    lost = 0
+    for text in sent:
+        if text in arrived:
+            arrived.remove(text)
+        else:
+            lost += 1
+            record.note("at no server", line=repr(text))
+    record.note("count", lines=len(sent), lost=lost)
     return BROKEN if lost else HELD
 
 
--- a/review/common_2.py
+++ b/review/common_2.py
@@ -1,4 +1,4 @@
-"""What the cases 6 to 10 share: a record, the balancer as a process, and stand-ins on loopback addresses.
+"""What the cases 6 to 9 share: a record, the balancer as a process, and stand-ins on loopback addresses.
 
 Only the standard library is used. The stand-ins speak the platform's line protocol, discovery's HTTP and
 the multiplexed channels of `docs/channels.md`, as far as the cases need them.
