Refuse a FIFO, a device or a huge file in the place of one that is read

Callers saw every line held without end when a FIFO stood in the place of the inventory, the configuration at SIGHUP, the settings file or the cordons: the read waits for a writer, on the event loop. A file of 10 MB was read whole.

Cause: the files were opened and read without a look at what they are.

read_regular_file opens without waiting, refuses what is no regular file, and reads no more than the reader's bound: 1 MiB of inventory or cordons, 4 MiB of configuration (an answer of discovery may have as much).

--- a/puffinford/config.py
+++ b/puffinford/config.py
@@ -15,10 +15,13 @@
 from puffinford.core.values import ServerEntries
 from puffinford.interface import Settings
 from puffinford.operators import DEFAULT_FILE, BadSettings, OperatorSettings, load_settings
+from puffinford.regular_file import read_regular_file
 from puffinford.server_list.entries import BadEntry, parse_address, parse_server_list
 
 log = logging.getLogger(__name__)
 
+MAX_FILE_BYTES = 4 << 20  # as for an answer of discovery, which `known` may hold
+
 
 class BadConfig(Exception):
     """Raised for an unusable configuration; the message names the field and the fault."""
@@ -107,7 +110,7 @@
     if not path:
         raise BadConfig("EDGE_CONFIG names no file")
     try:
-        document = json.loads(Path(path).read_bytes())
+        document = json.loads(read_regular_file(Path(path), MAX_FILE_BYTES))
     except (OSError, ValueError, RecursionError) as exc:
         raise BadConfig(f"{path}: {exc}") from None
     if not isinstance(document, dict):
--- a/puffinford/management/cordons.py
+++ b/puffinford/management/cordons.py
@@ -13,9 +13,11 @@
 from anyio import to_thread
 
 from puffinford.management.versions import locked
+from puffinford.regular_file import read_regular_file
 
 log = logging.getLogger(__name__)
 
+MAX_FILE_BYTES = 1 << 20
 _FileStamp = tuple[int, int, int]  # inode, modification time in ns, size: changes with each replacement
 
 
@@ -102,7 +104,7 @@
         """The set in the file, or the current one if there is no file; raises OSError or _Unusable."""
         assert self._path is not None
         try:
-            ids = json.loads(self._path.read_bytes())
+            ids = json.loads(read_regular_file(self._path, MAX_FILE_BYTES))
         except FileNotFoundError:
             return self.cordoned
         except (ValueError, RecursionError) as exc:
--- a/puffinford/operators/lines.py
+++ b/puffinford/operators/lines.py
@@ -12,6 +12,8 @@
 from pathlib import Path
 from typing import Any
 
+from puffinford.regular_file import read_regular_file
+
 MAX_FILE_BYTES = 1 << 20
 MAX_FILES = 256  # including the included ones
 MAX_INCLUDE_DEPTH = 8
@@ -103,15 +105,10 @@
         """Yield the lines that are not blank; those of included files replace the `include` line."""
         self.files.append(str(path))
         try:
-            with open(path, "rb") as source:
-                raw = source.read(MAX_FILE_BYTES + 1)
-            text = raw.decode("utf-8")
+            text = read_regular_file(path, MAX_FILE_BYTES).decode("utf-8")
         except (OSError, UnicodeDecodeError) as exc:
             self.errors.append(f"{path}: {exc}")
             return
-        if len(raw) > MAX_FILE_BYTES:
-            self.errors.append(f"{path}: longer than {MAX_FILE_BYTES} bytes")
-            return
         self._open.append(path.resolve())
         for number, line in enumerate(text.split("\n"), 1):
             if _is_blank(line):
--- a/puffinford/server_list/inventory.py
+++ b/puffinford/server_list/inventory.py
@@ -16,9 +16,11 @@
 
 from puffinford.core.start_times import StartTimeLookup
 from puffinford.core.values import ServerEntry
+from puffinford.regular_file import read_regular_file
 from puffinford.server_list.entries import BadEntry, parse_entry
 
 _LINES = "__lines__"  # key under which a mapping holds the line numbers of its keys
+MAX_FILE_BYTES = 1 << 20  # about 10,000 hosts
 _GROUP_KEYS = ("hosts", "vars", "children")
 NumberedEntry = tuple[int, Mapping[str, Any] | BadEntry]  # line number, and values or what is wrong with them
 
@@ -138,7 +140,7 @@
     if read is None:
         raise BadInventory(f"{path}: not a .csv, .yaml or .yml file")
     try:
-        text = path.read_text(encoding="utf-8")
+        text = read_regular_file(path, MAX_FILE_BYTES).decode("utf-8")
         inventory = _parse(path, read(text), start_of)
     except yaml.MarkedYAMLError as exc:
         line = exc.problem_mark.line + 1 if exc.problem_mark else 0
