Refuse an inventory that YAML allows and the reader did not expect

Cause: `{{ x }}` is a mapping as a key in YAML. The check for keys that stand twice hashed its value, a list, and the TypeError left InventoryFile.run and ended the process. `load` translated YAML errors and ValueError alone.

Aliases of aliases grow without limit.

The YAML has a module of its own, which gives each content that is no value of its tag, each key that is no text and each text that grows an error with its line, on libyaml's scanner. Content that nobody foresaw refuses the file, and the reload, rather than end the process.

--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -317,6 +317,9 @@
                 self._apply_config(*loaded)
         except (BadConfig, OSError) as exc:
             log.error("reload failed", extra={"error": str(exc)})
+        except Exception as exc:
+            # Prevents a content that no test foresaw from ending the process, and with it every connection.
+            log.exception("reload failed", extra={"error": repr(exc)})
         finally:
             self._pending_reloads -= 1
 
--- a/puffinford/server_list/inventory.py
+++ b/puffinford/server_list/inventory.py
@@ -17,9 +17,10 @@
 from puffinford.core.start_times import StartTimeLookup
 from puffinford.core.values import ServerEntry
 from puffinford.regular_file import read_regular_file
+from puffinford.server_list import inventory_yaml
 from puffinford.server_list.entries import BadEntry, parse_entry
+from puffinford.server_list.inventory_yaml import LINES
 
-_LINES = "__lines__"  # key under which a mapping holds the line numbers of its keys
 MAX_FILE_BYTES = 1 << 20  # about 10,000 hosts
 _GROUP_KEYS = ("hosts", "vars", "children")
 NumberedEntry = tuple[int, Mapping[str, Any] | BadEntry]  # line number, and values or what is wrong with them
@@ -43,26 +44,6 @@
         return any(not names <= self.given.get(ident, frozenset()) for ident, names in earlier.given.items())
 
 
-class _LineNumberLoader(yaml.SafeLoader):
-    """The safe loader, with the line number of each key added to every mapping, and no key twice in any."""
-
-    def compose_mapping_node(self, anchor: Any) -> yaml.MappingNode:
-        node = super().compose_mapping_node(anchor)
-        seen = set()
-        for key, _ in node.value:
-            if key.value in seen:
-                # Prevents the last of two hosts of one name from being taken without a word.
-                problem = f"{key.value!r} is listed twice"
-                raise yaml.constructor.ConstructorError(None, None, problem, key.start_mark)
-            seen.add(key.value if isinstance(key, yaml.ScalarNode) else id(key))
-        return node
-
-    def construct_mapping(self, node: yaml.MappingNode, deep: bool = False) -> dict[Any, Any]:
-        mapping = super().construct_mapping(node, deep)
-        mapping[_LINES] = {key.value: key.start_mark.line + 1 for key, _ in node.value}
-        return mapping
-
-
 def _csv_entries(text: str) -> Iterator[NumberedEntry]:
     rows = csv.DictReader(text.splitlines(), strict=True)
     if "id" not in (rows.fieldnames or ()):
@@ -77,21 +58,21 @@
 
 
 def _yaml_entries(text: str) -> Iterator[NumberedEntry]:
-    root = yaml.load(text, Loader=_LineNumberLoader)
+    root = inventory_yaml.parse(text)
     if not isinstance(root, dict):
         raise BadInventory("not a mapping of groups")
     yield from _groups(root, {})
 
 
 def _groups(groups: Mapping[str, Any], inherited: Mapping[str, Any]) -> Iterator[NumberedEntry]:
-    lines = groups[_LINES]
+    lines = groups[LINES]
     for name, group in groups.items():
-        if name == _LINES:
+        if name == LINES:
             continue
         if group is not None and not isinstance(group, dict):
             yield lines.get(name, 0), BadEntry(f"group {name!r} is not a mapping")
             continue
-        group = group or {_LINES: {}}
+        group = group or {LINES: {}}
         yield from _bad_keys(group)
         group_vars = {**inherited, **_mapping(group, "vars")}
         yield from _hosts(_mapping(group, "hosts"), group_vars)
@@ -100,8 +81,8 @@
 
 def _bad_keys(group: Mapping[str, Any]) -> Iterator[NumberedEntry]:
     for key, value in group.items():
-        line = group[_LINES].get(str(key), 0)
-        if key == _LINES:
+        line = group[LINES].get(key, 0)
+        if key == LINES:
             continue
         if key not in _GROUP_KEYS:
             yield line, BadEntry(f"{key!r} is not one of {', '.join(_GROUP_KEYS)}")
@@ -111,9 +92,9 @@
 
 def _hosts(hosts: Mapping[str, Any], group_vars: Mapping[str, Any]) -> Iterator[NumberedEntry]:
     for ident, values in hosts.items():
-        if ident == _LINES:
+        if ident == LINES:
             continue
-        line = hosts[_LINES].get(str(ident), 0)
+        line = hosts[LINES].get(ident, 0)
         if values is not None and not isinstance(values, dict):
             yield line, BadEntry(f"host {ident!r} is not a mapping")
         else:
@@ -122,7 +103,7 @@
 
 def _mapping(group: Mapping[str, Any], name: str) -> Mapping[str, Any]:
     value = group.get(name)
-    return value if isinstance(value, dict) else {_LINES: {}}
+    return value if isinstance(value, dict) else {LINES: {}}
 
 
 def _with_address(entry: Mapping[str, Any]) -> Mapping[str, Any]:
@@ -147,6 +128,9 @@
         raise BadInventory(f"{path}:{line}: {exc.problem}") from None
     except (OSError, ValueError, csv.Error, yaml.YAMLError, RecursionError, BadInventory) as exc:
         raise BadInventory(f"{path}: {exc}") from None
+    except Exception as exc:
+        # Prevents a content that no test foresaw from ending the process, and with it every connection.
+        raise BadInventory(f"{path}: {type(exc).__name__}: {exc}") from exc
     if not inventory.entries and not inventory.rejected:
         # A file of which only the head is written is no order to remove all servers.
         raise BadInventory(f"{path}: no host is listed")
--- a/puffinford/server_list/inventory_file.py
+++ b/puffinford/server_list/inventory_file.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
+from anyio import to_thread
+
 from puffinford.core.clock import Clock
 from puffinford.core.start_times import StartTimes
 from puffinford.core.values import ServerEntries
@@ -24,6 +26,8 @@
 REST_MS = 250.0  # without a change, before the file is read
 MAX_SAVE_MS = 3_200.0  # without a change, before a file that may be incomplete is taken as complete
 WRITER_POLL_S = 0.02
+MAX_INLINE_BYTES = 1 << 16  # of a file that is parsed between two messages; a longer one is in a thread
+MAX_REPORTED_ERRORS = 20  # of one file
 
 _FileStamp = tuple[int, int, int]  # inode, modification time in ns, size
 
@@ -65,8 +69,9 @@
         self._stamp: _FileStamp | None = None  # of the content that was seen last
         self._changed_at = float("-inf")  # when it was seen first
         self._judged = False  # whether it was taken or refused
-        self._loaded: Inventory | None = None  # that content, if it was read and is not in force yet
-        self._error = ""  # what is malformed in it
+        # That content, or what is malformed in it, if it was read and is not in force yet.
+        self._loaded: Inventory | BadInventory | None = None
+        self._running = False
         self._in_force: Inventory | None = None
         self.status = InventoryStatus(0, 0, 0.0)
 
@@ -99,10 +104,26 @@
     async def run(self) -> None:
         """Pass on the list, and again after each change, until cancelled."""
         self.fetch()
+        self._running = True
         while True:
             await self._clock.sleep(CHECK_INTERVAL_MS)
+            self._note_change()
+            if self._is_due_in_thread():
+                await self._load_in_thread()
             self._look()
 
+    def _is_due_in_thread(self) -> bool:
+        """Whether the file is to be read now, and is so long that messages would wait for it."""
+        rested = self._clock.now() - self._changed_at >= REST_MS
+        is_long = self._stamp is not None and self._stamp[2] > MAX_INLINE_BYTES
+        return self._running and not self._judged and self._loaded is None and rested and is_long
+
+    async def _load_in_thread(self) -> None:
+        stamp = self._stamp
+        loaded = await to_thread.run_sync(self._try_load)
+        if self._read_stamp() == stamp == self._stamp:
+            self._loaded = loaded
+
     def _read_stamp(self) -> _FileStamp | None:
         """The stamp of the file; None if it is not accessible."""
         try:
@@ -111,15 +132,19 @@
             return None
         return stat.st_ino, stat.st_mtime_ns, stat.st_size
 
-    def _look(self) -> bool:
-        """Take or refuse the file once it has rested; returns whether a list or a refusal was passed on."""
-        stamp, now = self._read_stamp(), self._clock.now()
+    def _note_change(self) -> None:
+        """Forget what was read of the file if it has changed since."""
+        stamp = self._read_stamp()
         if stamp != self._stamp:
-            self._stamp, self._changed_at = stamp, now
+            self._stamp, self._changed_at = stamp, self._clock.now()
             self._judged, self._loaded = False, None
+
+    def _look(self) -> bool:
+        """Take or refuse the file once it has rested; returns whether a list or a refusal was passed on."""
+        self._note_change()
         is_first = self._in_force is None
-        rested_ms = now - self._changed_at
-        if self._judged or (rested_ms < REST_MS and not is_first):
+        rested_ms = self._clock.now() - self._changed_at
+        if self._judged or (rested_ms < REST_MS and not is_first) or self._is_due_in_thread():
             return False
         if not is_first and rested_ms < self._max_rest_ms:
             incomplete = self._why_incomplete()
@@ -133,7 +158,7 @@
         if has_writer(self.path):
             return "a process has it open for writing"
         inventory = self._load()
-        if inventory is None:
+        if isinstance(inventory, BadInventory):
             return ""
         if not inventory.ends_with_newline:
             return "it does not end with a newline"
@@ -141,20 +166,26 @@
             return "it tells less than the list in force"
         return ""
 
-    def _load(self) -> Inventory | None:
-        """Return the content, which is read once; None if it is malformed, with the reason in `_error`."""
+    def _load(self) -> Inventory | BadInventory:
+        """Return the content, which is read once, or what is malformed in it."""
         if self._loaded is None:
-            try:
-                self._loaded = self._load_whole()
-            except BadInventory as exc:
-                self._error = str(exc)
+            self._loaded = self._try_load()
         return self._loaded
 
+    def _try_load(self) -> Inventory | BadInventory:
+        try:
+            return self._load_whole()
+        except BadInventory as exc:
+            return exc
+
     def _load_whole(self) -> Inventory:
         """Read the file; raises BadInventory, with a line for each malformed entry."""
         inventory = load(self.path, self._start_times.local_time)
         if inventory.rejected:
-            raise BadInventory("\n".join(inventory.rejected))
+            errors = inventory.rejected[:MAX_REPORTED_ERRORS]
+            if len(inventory.rejected) > len(errors):
+                errors.append(f"{self.path}: {len(inventory.rejected) - len(errors)} more errors")
+            raise BadInventory("\n".join(errors))
         return inventory
 
     def _judge(self) -> bool:
@@ -164,8 +195,8 @@
             self._loaded = None
             return False
         self._judged = True
-        if inventory is None:
-            self._refuse()
+        if isinstance(inventory, BadInventory):
+            self._refuse(str(inventory))
         else:
             self._put_in_force(inventory)
             self._pass_on()
@@ -190,8 +221,9 @@
             self.status = replace(self.status, problem=problem, is_refused=False, since=self._changed_at)
             log.info("inventory waiting", extra={"file": str(self.path), "why": problem})
 
-    def _refuse(self) -> None:
-        self.status = replace(self.status, problem=self._error, is_refused=True, since=self._changed_at)
-        for error in self._error.splitlines():
+    def _refuse(self, problem: str) -> None:
+        self._loaded = None
+        self.status = replace(self.status, problem=problem, is_refused=True, since=self._changed_at)
+        for error in problem.splitlines():
             log.error("inventory refused", extra={"error": error, "version": self.status.version})
         self._on_list(None)
--- a/tests/test_file_contents.py
+++ b/tests/test_file_contents.py
@@ -5,15 +5,128 @@
 import os
 from pathlib import Path
 
+import anyio
 import pytest
+from anyio import to_thread
 
 from puffinford.config import BadConfig
 from puffinford.config import load as load_config
-from puffinford.core.clock import Clock
+from puffinford.core.clock import Clock, SettableClock
 from puffinford.core.start_times import StartTimes
+from puffinford.core.values import ServerEntries
 from puffinford.management.cordons import Cordons
 from puffinford.operators import BadSettings, load_settings
-from puffinford.server_list.inventory import BadInventory, load
+from puffinford.server_list.inventory import MAX_FILE_BYTES, BadInventory, load
+from puffinford.server_list.inventory_file import MAX_INLINE_BYTES, InventoryFile
+
+SOUND = "all:\n  hosts:\n    gw-1: {addr: 127.0.0.1:81}\n"
+TEMPLATE = "all:\n  hosts:\n    {{ inventory_hostname }}:\n      addr: {{ gateway_address }}\n"
+LINE_HELD_S = 1.0  # at most, whatever happens
+
+
+def host(details: str) -> str:
+    """An inventory whose third line is a host with these details."""
+    return f"all:\n  hosts:\n    gw-1: {{{details}}}\n"
+
+
+def growing(reference: str) -> str:
+    """Groups of which each names the one before it ten times, on lines of their own."""
+    groups = ["a0: &a0 {hosts: {}}"]
+    for number in range(1, 9):
+        groups.append(f"a{number}: &a{number} {reference}".replace("LAST", f"*a{number - 1}"))
+    return "\n".join(groups) + "\n"
+
+
+@pytest.mark.parametrize(
+    ("text", "line"),
+    [
+        (TEMPLATE, 3),
+        ("? [a]\n: 1\n", 1),
+        (host("addr: !!int ''"), 3),
+        (host("addr: !!timestamp abc"), 3),
+        (host("weight: !!bool maybe"), 3),
+        (host("weight: !!python/name:os.system"), 3),
+        (host("weight: 0b_"), 3),
+        (host("weight: 2001-99-99"), 3),
+        (host("weight: " + "1:" * 2_500 + "1"), 3),
+        (host("weight: " + "1" * 5_000), 3),
+        (host("addr: 127.0.0.1:81, weight: .nan"), 3),
+        (host("addr: 127.0.0.1:81, cell: .inf"), 3),
+        (host("addr: [127.0.0.1]"), 3),
+        ("all:\n  hosts: &a\n    gw-1: *a\n", 3),
+        ("all: &a\n  children: *a\n", 2),
+        (growing("{children: {" + ", ".join(f"c{n}: LAST" for n in range(10)) + "}}"), 6),
+        (growing("{<<: [" + ", ".join(["LAST"] * 10) + "]}"), 6),
+        ("all:\n  hosts:\n    2001-01-01: {addr: 127.0.0.1:81}\n", 3),
+        ("all: {hosts: {yes: {addr: 127.0.0.1:81}}}\n", 1),
+        ("[" * 100_000, 1),
+    ],
+)
+def test_an_inventory_that_yaml_allows_and_we_do_not_names_its_line(
+    text: str, line: int, tmp_path: Path
+) -> None:
+    """Guards against an exception of the YAML library, or a text that grows, ending a serving process."""
+    path = tmp_path / "i.yaml"
+    path.write_text(SOUND)
+    lists: list[ServerEntries | None] = []
+    clock = SettableClock()
+    file = InventoryFile(path, clock, lists.append)
+    file.check()
+    path.write_text(text)
+    file.refresh()
+    clock.advance(4_000.0)
+    file.refresh()
+    assert file.status.is_refused and file.status.version == 1
+    assert file.status.problem.startswith(f"{path}:{line}: "), file.status.problem
+    file.fetch()
+    assert [servers and servers.size for servers in lists] == [None, 1]
+
+
+@pytest.mark.parametrize(
+    "text", ["a: " * 5_000, "".join(f"{' ' * n}a:\n" for n in range(900)), "a: \0\n", "\ud800", ""]
+)
+def test_an_inventory_that_is_no_document_names_its_file(text: str, tmp_path: Path) -> None:
+    path = tmp_path / "i.yaml"
+    path.write_bytes(text.encode("utf-8", "surrogatepass"))
+    with pytest.raises(BadInventory, match=f"^{path}:"):
+        load(path, lambda _, ms: ms)
+
+
+@pytest.mark.anyio
+async def test_a_long_inventory_holds_up_no_line(tmp_path: Path) -> None:
+    """Guards against parsing thousands of hosts between two messages: 3,200 took 1.8 s."""
+    path = tmp_path / "i.yaml"
+    path.write_text(SOUND)
+    clock = Clock()
+    lists: list[ServerEntries | None] = []
+    file = InventoryFile(path, clock, lists.append)
+    file.check()
+    hosts = "".join(f"    gw-{n}: {{addr: 10.0.{n // 250}.{n % 250}:81, zone: boa}}\n" for n in range(15_000))
+    text = f"all:\n  hosts:\n{hosts}"
+    assert MAX_INLINE_BYTES < len(text) < MAX_FILE_BYTES
+    longest = 0.0
+    threads: list[bool] = []
+
+    async def measure() -> None:
+        nonlocal longest
+        while True:
+            before = clock.now()
+            await anyio.sleep(0.01)
+            longest = max(longest, clock.now() - before)
+            threads.append(to_thread.current_default_thread_limiter().borrowed_tokens > 0)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(file.run)
+        tasks.start_soon(measure)
+        await anyio.sleep(0.2)
+        path.write_text(text)
+        with anyio.fail_after(30):
+            while file.status.version < 2:
+                file.refresh()
+                await anyio.sleep(0.05)
+        tasks.cancel_scope.cancel()
+    assert lists[-1] is not None and lists[-1].size == 15_000
+    assert longest < LINE_HELD_S * 1_000.0 and any(threads)
 
 
 def in_the_place_of(path: Path, what: str) -> None:
