Wait for discovery's first list before a server counts as gone

Cause: Attempts.resume ended the request for any server not in the table, also before the source had sent a list. `not resumed` did not tell which; it has `list_confirmed` now.

A resumed connection waits for the first list, and its answer comes at once if that lacks the server, or 50 ms before the client's time is over. A cordon of an id that only an old list lacks is 503 and not 404 for the same reason.

--- a/puffinford/core/attempts.py
+++ b/puffinford/core/attempts.py
@@ -19,6 +19,7 @@
 from puffinford.core.values import AttemptEnded, ConnectionBroken, Failed, Message, ServerConnector, Up
 
 RESUME_RETRY_MS = 250.0  # mean pause between attempts to resume a connection
+RESUME_ANSWER_MARGIN_MS = 50.0  # for the answer to arrive before its client stops waiting
 
 
 class Attempts:
@@ -160,15 +161,19 @@
 
     async def resume(self, request: ClientRequest, server_id: str) -> None:
         """Resume a connection at the server that already holds it, until the request's deadline."""
+        clock = self._context.clock
+        until = request.deadline - min(RESUME_ANSWER_MARGIN_MS, request.opening.wait / 2.0)
         while True:
-            entry = self._servers.get(server_id)
-            remaining = request.deadline - self._context.clock.now()
+            entry = await self._servers.wait_until_known(server_id, until - clock.now())
+            remaining = until - clock.now()
             if entry is None or remaining <= 0:
-                fields = {"request": request.id, "server": server_id, "known": entry is not None}
+                known = entry is not None
+                fields = {"request": request.id, "server": server_id, "known": known}
+                fields["list_confirmed"] = self._servers.is_confirmed
                 log.warning("not resumed", extra=fields)
                 self._completions.finish(request.id, Completion(Failed("cannot be resumed")))
                 return
-            attempt = request.attempt = ServerAttempt(entry, 0, self._context.clock.now())
+            attempt = request.attempt = ServerAttempt(entry, 0, clock.now())
             up, ended = await self._make_attempt(request, attempt, remaining)
             if up is not None:
                 self._context.dispatch(it.Inherited(to_decision_request(request), server_id))
@@ -182,7 +187,7 @@
             if ended.result not in (it.Result.FULL, it.Result.CONNECT_FAILED):
                 self._completions.finish(request.id, Completion(Failed("cannot be resumed")))
                 return
-            await self._context.clock.sleep(RESUME_RETRY_MS * (0.5 + self._context.rng.random()))
+            await clock.sleep(RESUME_RETRY_MS * (0.5 + self._context.rng.random()))
 
 
 def to_decision_request(request: ClientRequest) -> it.Request:
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -144,6 +144,11 @@
         """Whether a server list is in use: from its source or, if that does not answer, a restored one."""
         return self._servers.has_server_list
 
+    @property
+    def is_list_confirmed(self) -> bool:
+        """Whether the source has sent a list since the start, so that what it lacks does not exist."""
+        return self._servers.is_confirmed
+
     @property
     def serving(self) -> bool:
         """Whether new requests are accepted."""
--- a/puffinford/core/servers.py
+++ b/puffinford/core/servers.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Set
 
+import anyio
+
 from puffinford import interface as it
 from puffinford.core.context import Context
 from puffinford.core.logger import log
@@ -23,6 +25,8 @@
         self._known_ids: set[str] = set()  # all servers listed so far
         self.cordoned: frozenset[str] = frozenset()
         self.source_answered = False  # or failed while a restored list is in use
+        self.is_confirmed = False  # the source has sent a list since the start
+        self._confirmed = anyio.Event()
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -45,6 +49,17 @@
         timed_out = self._context.clock.now() >= self._started_at + SOURCE_TIMEOUT_MS
         return self.source_answered or (timed_out and bool(self._entries))
 
+    async def wait_until_known(self, server_id: str, timeout_ms: float) -> ServerEntry | None:
+        """Return the entry of a server, waiting for the first list of the source if it is in no list yet.
+
+        None if that list does not have it either, or has not come after `timeout_ms`. Prevents a server that
+        a restored list lacks from being taken for one that is gone.
+        """
+        if server_id not in self._entries and not self.is_confirmed:
+            with self._context.clock.limit(timeout_ms):
+                await self._confirmed.wait()
+        return self._entries.get(server_id)
+
     def is_known_id(self, server_id: str) -> bool:
         """Whether a server with that id is or was listed, or is cordoned."""
         return server_id in self._known_ids or server_id in self.cordoned
@@ -62,6 +77,8 @@
             self._context.dispatch(it.ServerList(it.ListKind.UNAVAILABLE))
         else:
             self.apply(entries, it.ListKind.REPLACE if entries.full else it.ListKind.UPDATE)
+            self.is_confirmed = True
+            self._confirmed.set()
         self.source_answered |= entries is not None or bool(self._entries)
 
     def apply(self, entries: ServerEntries, kind: it.ListKind) -> None:
--- a/puffinford/management/admin_api.py
+++ b/puffinford/management/admin_api.py
@@ -62,7 +62,7 @@
 
     async def _cordon(self, server_id: str, cordoned: bool) -> Reply:
         if not self._exchange.is_known_id(server_id):
-            if not self._exchange.has_server_list:
+            if not self._exchange.is_list_confirmed:
                 return Reply(503, "no server list yet")
             return Reply(404, "no server has that id")
         try:
