--- a/puffinford/fronts/channels/connection.py
+++ b/puffinford/fronts/channels/connection.py
@@ -16,10 +16,11 @@
 
 
 class ChannelConnection:
-    """A PeerConnection whose messages are lines of channel data and channel requests."""
+    """A PeerConnection whose messages are lines of channel data and, from a server, channel requests."""
 
-    def __init__(self, channel: Channel, clock: Clock) -> None:
+    def __init__(self, channel: Channel, clock: Clock, *, is_server: bool = False) -> None:
         self._channel = channel
+        self._is_server = is_server
         self._clock = clock
         self._reader = LineReader()
 
@@ -36,7 +37,7 @@
                 return Message(partial_line)
             if isinstance(item, bytes):
                 self._reader.feed(item)
-            else:
+            elif self._is_server:  # those of a client mean nothing
                 kind = _KINDS[item.name]
                 note = float(codec.PayloadReader(item.extra).uint32()) if kind is MessageKind.NOTE else 0.0
                 return Message(b"", kind, note)
--- a/puffinford/fronts/channels/server.py
+++ b/puffinford/fronts/channels/server.py
@@ -122,7 +122,7 @@
             receipt = codec.PayloadReader(channel.confirmation).text()
         except codec.MalformedMessage:
             raise AttemptEnded(Result.ERROR) from None
-        return ChannelConnection(channel, self._clock), Up(receipt)
+        return ChannelConnection(channel, self._clock, is_server=True), Up(receipt)
 
     async def probe(self, entry: ServerEntry, wait: float, load: bool) -> tuple[Result, str]:
         """Check that the server accepts a connection within `wait` ms; there is no load report."""
--- a/puffinford/fronts/lines/codec.py
+++ b/puffinford/fronts/lines/codec.py
@@ -25,6 +25,8 @@
 STATS = "STATS"
 PONG = b"PONG" + LINE_END
 MOVE = b"MOVE" + LINE_END
+_LOAD = b"LOAD "
+_BYE = re.compile(rb"BYE(?: (\S+=\S*))?\r\n")  # with a load report or without
 
 
 class InvalidLine(InvalidOpening):
@@ -106,15 +108,18 @@
     return (Result.OK, rest) if word == "PONG" else (Result.ERROR, "")
 
 
-def decode_message(line: bytes) -> Message:
-    """Decode a line of an established connection."""
-    word, _, rest = line.rstrip(b"\r\n").partition(b" ")
-    if word == b"BYE":
-        return Message(line, MessageKind.BYE, report=rest.decode("latin-1"))
-    if word == b"MOVE":
+def decode_server_message(line: bytes) -> Message:
+    """Decode a line of a server's established connection: a word of the protocol in its exact form, or data.
+
+    Clients have no such words: their lines are data, whatever they hold.
+    """
+    if line == MOVE:
         return Message(line, MessageKind.MOVE)
-    if word == b"LOAD":
-        note = parse_number(rest.decode("latin-1"))
+    bye = _BYE.fullmatch(line)
+    if bye is not None:
+        return Message(line, MessageKind.BYE, report=(bye[1] or b"").decode("latin-1"))
+    if line.startswith(_LOAD) and line.endswith(LINE_END):
+        note = parse_number(line[len(_LOAD) : -len(LINE_END)].decode("latin-1"))
         if note is not None:
             return Message(line, MessageKind.NOTE, note)
     return Message(line)
@@ -127,4 +132,4 @@
     """Return the original line of a message, or a line for its kind if it arrived over another front."""
     if message.data or message.kind is MessageKind.DATA:
         return message.data
-    return _LINES_BY_KIND.get(message.kind) or f"LOAD {message.note:g}".encode() + LINE_END
+    return _LINES_BY_KIND.get(message.kind) or _LOAD + b"%d" % message.note + LINE_END
--- a/puffinford/fronts/lines/connection.py
+++ b/puffinford/fronts/lines/connection.py
@@ -10,11 +10,13 @@
 
 
 class LineConnection:
-    """A PeerConnection, to a client or a server, whose messages are lines."""
+    """A PeerConnection whose messages are lines; `is_server` tells which peer it is."""
 
-    def __init__(self, stream: TcpStream) -> None:
+    def __init__(self, stream: TcpStream, *, is_server: bool = False) -> None:
         self._stream = stream
         self._reader = LineReader()
+        self._is_server = is_server
+        self._at_line_start = True
 
     @property
     def pending(self) -> bool:
@@ -62,7 +64,11 @@
 
     async def receive(self) -> Message:
         """Return the next message; raises PeerClosed or ConnectionBroken."""
-        return codec.decode_message(await self.read_line())
+        line = await self.read_line()
+        # Prevents a client's line, or the rest of one that is too long, from being read as a server's word.
+        may_be_word = self._is_server and self._at_line_start
+        self._at_line_start = line.endswith(b"\n")
+        return codec.decode_server_message(line) if may_be_word else Message(line)
 
     async def send(self, message: Message) -> None:
         """Write a message; raises ConnectionBroken."""
--- a/puffinford/fronts/lines/server.py
+++ b/puffinford/fronts/lines/server.py
@@ -45,7 +45,7 @@
         """Send an opening within `wait` ms; see `ServerConnector`."""
         started_at = self._clock.now()
         stream = await self._connect(entry, wait)
-        connection = LineConnection(stream)
+        connection = LineConnection(stream, is_server=True)
         answer: Up | Result = Result.TIMEOUT
         line, report = b"", ""
         established = False
@@ -68,7 +68,7 @@
             if isinstance(answer, Up):
                 established = True
                 return connection, answer
-            messages = (codec.decode_message(line),) if answer is Result.OK else ()
+            messages = (codec.decode_server_message(line),) if answer is Result.OK else ()
             raise AttemptEnded(answer, messages, report)
         finally:
             # Prevents two attempts at a time: this connection is closed before the next attempt starts.
