Bound what a settings file can make a reload parse

Callers saw every line held for as long as a SIGHUP took to read a settings file that is not one: 15 s for 1 MiB of short lines, 9 s for one line of words.

Cause: each line is parsed by itself on the event loop, bounded by the bytes of one file alone, and 256 files may be included.

--- a/puffinford/operators/lines.py
+++ b/puffinford/operators/lines.py
@@ -16,6 +16,7 @@
 
 MAX_FILE_BYTES = 1 << 20
 MAX_FILES = 256  # including the included ones
+MAX_SETTINGS_CHARACTERS = 1 << 14  # of all lines that are not blank, in all files: they are parsed one by one
 MAX_INCLUDE_DEPTH = 8
 
 _GRAMMAR = r"""
@@ -100,19 +101,29 @@
         self.errors: list[str] = []
         self.files: list[str] = []
         self._open: list[Path] = []  # the files being read, outermost first
+        self._characters_left = MAX_SETTINGS_CHARACTERS
+        self._bytes_left = MAX_FILE_BYTES  # of all files
 
     def read(self, path: Path) -> Iterator[list[Word]]:
         """Yield the lines that are not blank; those of included files replace the `include` line."""
         self.files.append(str(path))
         try:
-            text = read_regular_file(path, MAX_FILE_BYTES).decode("utf-8")
+            raw = read_regular_file(path, self._bytes_left)
+            text = raw.decode("utf-8")
         except (OSError, UnicodeDecodeError) as exc:
             self.errors.append(f"{path}: {exc}")
             return
+        self._bytes_left -= len(raw)
         self._open.append(path.resolve())
         for number, line in enumerate(text.split("\n"), 1):
             if _is_blank(line):
                 continue
+            self._characters_left -= len(line)
+            if self._characters_left < 0:
+                # Prevents a reload from holding every line while it parses a file that is no settings file.
+                location = Location(str(path), number)
+                self.errors.append(f"{location}: over {MAX_SETTINGS_CHARACTERS} characters of settings")
+                break
             try:
                 words = _words(line, str(path), number)
             except BadSettings as exc:
--- a/tests/test_file_contents.py
+++ b/tests/test_file_contents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import time
 from pathlib import Path
 
 import anyio
@@ -158,3 +159,17 @@
     in_the_place_of(tmp_path / "n1.cordons", what)
     cordons.refresh()
     assert not cordons.in_sync and not cordons.cordoned
+
+
+@pytest.mark.parametrize(
+    "line", ["a\n", "a ", '"', "section state\nsiz 4\n", "# a comment\n", "include i.conf\n"]
+)
+def test_settings_of_any_length_are_judged_before_a_line_is_late(line: str, tmp_path: Path) -> None:
+    """Guards against a reload that parses for seconds: 500,000 short lines took 15 s."""
+    path = tmp_path / "x.conf"
+    path.write_text(line * (1_000_000 // len(line)) + "\nsection nowhere\n")
+    (tmp_path / "i.conf").write_text("# nothing\n" * 10_000)
+    started_at = time.perf_counter()
+    with pytest.raises(BadSettings, match=f"^{tmp_path}/"):
+        load_settings(path)
+    assert time.perf_counter() - started_at < LINE_HELD_S
