Keep the fields of an opening as one text

Callers saw a process near its memory limit, and killed over it, when clients stood that were opened with many short fields.

Cause: an opening kept a tuple and two strings for each field while its connection stood, about 115 bytes for a field of four.

The fields are split when an attempt needs them. A channel's field whose name holds `=` is refused: as one text it would be another field.

--- a/puffinford/core/attempts.py
+++ b/puffinford/core/attempts.py
@@ -148,7 +148,7 @@
         }
         if ended.result is it.Result.ERROR:
             # The server may have rejected the opening.
-            fields["figures"] = str(request.opening.parameters)[:300]
+            fields["figures"] = request.opening.parameter_list[:300]
         log.info("attempt ended", extra={**fields, "ms": round(latency, 1)})
 
     async def _forward_all(self, request: ClientRequest, messages: tuple[Message, ...]) -> None:
--- a/puffinford/core/values.py
+++ b/puffinford/core/values.py
@@ -26,9 +26,19 @@
     return float(text) if text is not None and _NUMBER.fullmatch(text) else None
 
 
+def split_parameters(text: str) -> tuple[tuple[str, str | None], ...]:
+    """Split NAME=VALUE or NAME with commas between them; a name without `=` has the value None."""
+    items = (item.partition("=") for item in text.split(",")) if text else ()
+    return tuple((name, value if separator else None) for name, separator, value in items)
+
+
 @dataclass(frozen=True, slots=True)
 class Opening:
-    """A client's request for a connection. `parameters` holds all its named values in their order."""
+    """A client's request for a connection.
+
+    `parameter_list` holds all its named values in their order, as NAME=VALUE or NAME between commas:
+    one text takes no more memory than its bytes, whatever a client has divided them into.
+    """
 
     request_id: str  # chosen by the client
     key: str
@@ -40,13 +50,18 @@
     came_back: bool = False
     resume_server: str | None = None  # server that already holds this connection
     expected_load: float | None = None  # work in ms per second
-    parameters: tuple[tuple[str, str | None], ...] = ()
+    parameter_list: str = ""
+
+    @property
+    def parameters(self) -> tuple[tuple[str, str | None], ...]:
+        """All named values in their order."""
+        return split_parameters(self.parameter_list)
 
     @classmethod
     def from_parameters(
         cls, request_id: str, key: str, parameters: tuple[tuple[str, str | None], ...]
     ) -> Opening:
-        """Build an opening from its named values; raises InvalidOpening."""
+        """Build an opening from its named values, without `,` and `=` in names; raises InvalidOpening."""
         named = dict(parameters)
         if len(named) < len(parameters):
             # Prevents an opening that the balancer and a server read differently.
@@ -67,7 +82,7 @@
             named.get("again") == "1",
             named.get("at") or None,
             parse_number(named.get("h")),
-            parameters,
+            ",".join(name if value is None else f"{name}={value}" for name, value in parameters),
         )
 
 
--- a/puffinford/fronts/channels/opening.py
+++ b/puffinford/fronts/channels/opening.py
@@ -44,6 +44,8 @@
         name, has_value, value = reader.text(), reader.boolean(), reader.text()
         if name in ("c", "t", "d", "g"):
             raise InvalidOpening(f"{name} has a field of its own")
+        if "=" in name:
+            raise InvalidOpening("a name holds an equals sign")
         parameters.append((name, value if has_value else None))
     if reader.rest():
         raise codec.MalformedMessage("opening too long")
--- a/puffinford/fronts/lines/codec.py
+++ b/puffinford/fronts/lines/codec.py
@@ -15,6 +15,7 @@
     Opening,
     Up,
     parse_number,
+    split_parameters,
 )
 from puffinford.fronts.sockets import MAX_LINE_BYTES
 from puffinford.interface import Result
@@ -60,11 +61,7 @@
         raise InvalidLine("not OPEN ID KEY LIST")
     if _CONTROL_CHARACTERS.search(text):
         raise InvalidLine("control characters")
-    parameters = []
-    for item in parts[3].split(","):
-        name, separator, value = item.partition("=")
-        parameters.append((name, value if separator else None))
-    return Opening.from_parameters(parts[1], parts[2], tuple(parameters))
+    return Opening.from_parameters(parts[1], parts[2], split_parameters(parts[3]))
 
 
 def encode_opening(opening: Opening, timeout_ms: float) -> bytes:
