Bound the memory of all requests together by limits.memory_mb

Callers saw a process killed for its memory, and all connections with it: 100 channel connections with 60 waiting opens of 30 KB each took it to 214 MB.

Cause: each connection had bounds of its own, and nothing bounded their sum. limits.memory_mb was read and not used.

--- a/puffinford/config.py
+++ b/puffinford/config.py
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True)
 class Limits:
-    """Resource limits set by the platform. Only `sockets` is enforced at run time."""
+    """Resource limits set by the platform. `sockets` and `memory_mb` are enforced at run time."""
 
     cores: float = 1.0
     memory_mb: float = 192.0
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -274,7 +274,7 @@
     async def serve(self, opening: Opening, client: ClientConnection, has_capacity: bool = True) -> None:
         """Serve one request to its end, with exactly one final answer.
 
-        Without `has_capacity` (free descriptors for its connections) it is refused immediately.
+        Without `has_capacity` (free descriptors and memory for it) it is refused immediately.
         """
         refusal = self._refusal(opening, has_capacity)
         if refusal is not None:
--- a/puffinford/fronts/channels/client.py
+++ b/puffinford/fronts/channels/client.py
@@ -13,6 +13,7 @@
 from puffinford.fronts.channels.connection import ChannelConnection
 from puffinford.fronts.channels.multiplexer import Channel, Multiplexer
 from puffinford.fronts.channels.opening import decode_opening
+from puffinford.fronts.memory import CHANNEL_REQUEST_BYTES, OPENING_COPIES
 from puffinford.fronts.sockets import TcpStream
 
 log = logging.getLogger("puffinford.fronts.channels.client")
@@ -27,6 +28,7 @@
 
     async def handle(self, stream: TcpStream) -> None:
         """Serve one connection until it and all its channels are closed."""
+        memory = self._tracker.memory.connection()
         async with anyio.create_task_group() as requests:
 
             def on_open(channel: Channel, message: codec.ChannelOpen) -> None:
@@ -36,10 +38,12 @@
                     multiplexer.refuse(channel, codec.PROHIBITED, str(exc))
                     return
                 connection = ChannelConnection(channel, stream.clock)
+                size = CHANNEL_REQUEST_BYTES + OPENING_COPIES * len(message.extra)
 
                 async def serve() -> None:
                     try:
-                        await self._exchange.serve(opening, connection)
+                        with memory.reserve(size) as has_room:
+                            await self._exchange.serve(opening, connection, has_room)
                     except Exception:
                         # A failed request must not close the connection's other channels.
                         log.exception("request failed", extra={"request": opening.request_id})
--- a/puffinford/fronts/lines/client.py
+++ b/puffinford/fronts/lines/client.py
@@ -10,6 +10,7 @@
 from puffinford.fronts.accepting import REJECTION_READ_TIMEOUT_MS, ConnectionTracker
 from puffinford.fronts.lines import codec
 from puffinford.fronts.lines.connection import LineConnection
+from puffinford.fronts.memory import LINE_REQUEST_BYTES, OPENING_COPIES
 from puffinford.fronts.sockets import TcpStream
 from puffinford.logs import RateLimitedLog
 
@@ -43,7 +44,9 @@
                     # Rejects pipelined commands: a client waits for the answer to each.
                     raise codec.InvalidLine("more than one line at once")
                 if not isinstance(command, codec.Ping):
-                    await self._exchange.serve(command, connection)
+                    size = LINE_REQUEST_BYTES + OPENING_COPIES * len(line)
+                    with self._tracker.memory.connection().reserve(size) as has_room:
+                        await self._exchange.serve(command, connection, has_room)
                     return
                 await stream.write(codec.PONG)
                 await self._wait_for_next_line(connection)
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -24,6 +24,7 @@
 from puffinford.fronts.channels.server import ChannelServerConnector
 from puffinford.fronts.lines.client import LineClientHandler
 from puffinford.fronts.lines.server import LineServerConnector
+from puffinford.fronts.memory import request_memory_limit
 from puffinford.fronts.sockets import (
     MAX_MGMT_DESCRIPTORS,
     MGMT_ACCEPTS_PER_TURN,
@@ -68,6 +69,8 @@
             RESERVED_DESCRIPTORS + MAX_MGMT_DESCRIPTORS + MGMT_ACCEPTS_PER_TURN,
         )
         tracker = ConnectionTracker(clock, self._budget)
+        self._memory = tracker.memory
+        self._memory.limit = request_memory_limit(config.limits.memory_mb)
         connect_timeout = config.settings.connect_timeout
         self._line_servers = LineServerConnector(clock, self._budget, connect_timeout)
         self._channel_servers = ChannelServerConnector(clock, self._budget, connect_timeout)
@@ -336,6 +339,7 @@
             if config.operators.rebalance.enabled:
                 self._start_rebalancing()
         self._budget.limit = raise_descriptor_limit(config.limits.sockets)
+        self._memory.limit = request_memory_limit(config.limits.memory_mb)
         self._exchange.configure(config.settings)
         self._line_servers.connect_timeout = config.settings.connect_timeout
         self._channel_servers.connect_timeout = config.settings.connect_timeout
