Share the event loop between client connections by the cost of their messages

Callers got UP late, 0.5 to 1.4 s, while 30 channel connections sent malformed or unknown opens at full speed, or 30 line clients lines; alone 3 ms.

Cause: fairness was by bytes. A channel connection handled a whole piece of 16 KiB, some 200 opens, before others had their turn, a line connection 32 lines; a request needs a dozen turns of the event loop.

FairTurns grants one slice in a turn of the loop, an open or eight messages, to the connection that has done least (start-time fair queueing).

A test changed: a channel peer that asks without reading was ended when 200 requests in one piece met a queue of 100. The writer has its turn between them now, so the test fills both sockets' buffers first and asks for the same end.

--- a/puffinford/fronts/accepting.py
+++ b/puffinford/fronts/accepting.py
@@ -18,6 +18,7 @@
 
 from puffinford.core.clock import Clock
 from puffinford.core.transient_errors import LOCAL_SHORTAGE_ERRNOS
+from puffinford.fronts.fair_turns import FairTurns
 from puffinford.fronts.memory import MemoryBudget
 from puffinford.fronts.sockets import FINAL_WRITE_TIMEOUT_MS, DescriptorBudget, TcpStream, socket_address
 from puffinford.logs import RateLimitedLog
@@ -61,6 +62,7 @@
         self.clock = clock
         self.budget = budget
         self.memory = MemoryBudget()
+        self.turns = FairTurns()
         self._idle_divisor = idle_divisor
         self._evictable: dict[object, anyio.CancelScope] = {}  # the longest idle first
         self._sessions: set[Callable[[], None]] = set()  # each ends one session
--- a/puffinford/fronts/channels/multiplexer.py
+++ b/puffinford/fronts/channels/multiplexer.py
@@ -20,6 +20,7 @@
 from puffinford.core.values import ConnectionBroken, PeerClosed
 from puffinford.fronts.accepting import ConnectionTracker
 from puffinford.fronts.channels import codec
+from puffinford.fronts.fair_turns import MESSAGE_COST, OPEN_COST, WorkShare
 from puffinford.fronts.sockets import TcpStream
 
 log = logging.getLogger(__name__)
@@ -317,6 +318,7 @@
     ) -> None:
         self._stream = stream
         self._tracker = tracker  # evicts idle connections of clients; None for servers
+        self._share = None if tracker is None else WorkShare(tracker.turns)
         self._clock = clock
         self._is_client = is_client
         self._on_open = on_open
@@ -414,6 +416,10 @@
                             "disconnected", extra={"reason": message.reason, "why": message.description[:100]}
                         )
                         return None
+                    if self._share is not None:
+                        await self._share.spend(
+                            OPEN_COST if isinstance(message, codec.ChannelOpen) else MESSAGE_COST
+                        )
                     if isinstance(message, codec.ChannelRequest):
                         await self._wait_for_receiver(message.recipient)
                     self._handle_message(message)
--- a/puffinford/fronts/lines/client.py
+++ b/puffinford/fronts/lines/client.py
@@ -8,6 +8,7 @@
 from puffinford.core.exchange import Exchange
 from puffinford.core.values import ConnectionBroken, Failed, InvalidOpening, PeerClosed
 from puffinford.fronts.accepting import REJECTION_READ_TIMEOUT_MS, ConnectionTracker
+from puffinford.fronts.fair_turns import WorkShare
 from puffinford.fronts.lines import codec
 from puffinford.fronts.lines.connection import LineConnection
 from puffinford.fronts.memory import LINE_REQUEST_BYTES, OPENING_COPIES
@@ -34,7 +35,7 @@
 
     async def handle(self, stream: TcpStream) -> None:
         """Serve one connection until it is closed."""
-        connection = LineConnection(stream)
+        connection = LineConnection(stream, share=WorkShare(self._tracker.turns))
         line = b""
         try:
             while True:
--- a/puffinford/fronts/lines/connection.py
+++ b/puffinford/fronts/lines/connection.py
@@ -5,15 +5,20 @@
 from collections.abc import Callable
 
 from puffinford.core.values import Busy, Failed, Message, PeerClosed, Up
+from puffinford.fronts.fair_turns import LINE_COST, WorkShare
 from puffinford.fronts.lines import codec
 from puffinford.fronts.sockets import LineReader, TcpStream
 
 
 class LineConnection:
-    """A PeerConnection whose messages are lines; `is_server` tells which peer it is."""
+    """A PeerConnection whose messages are lines; `is_server` tells which peer it is.
 
-    def __init__(self, stream: TcpStream, *, is_server: bool = False) -> None:
+    `share`, of a client, is charged for each message.
+    """
+
+    def __init__(self, stream: TcpStream, *, is_server: bool = False, share: WorkShare | None = None) -> None:
         self._stream = stream
+        self._share = share
         self._reader = LineReader()
         self._is_server = is_server
         self._at_line_start = True
@@ -65,6 +70,8 @@
     async def receive(self) -> Message:
         """Return the next message; raises PeerClosed or ConnectionBroken."""
         line = await self.read_line()
+        if self._share is not None:
+            await self._share.spend(LINE_COST)
         # Prevents a client's line, or the rest of one that is too long, from being read as a server's word.
         may_be_word = self._is_server and self._at_line_start
         self._at_line_start = line.endswith(b"\n")
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -11,6 +11,7 @@
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 
 from puffinford.core.clock import SettableClock
 from puffinford.fronts.accepting import (
@@ -336,17 +337,30 @@
 async def test_a_channel_peer_that_asks_faster_than_it_is_answered_is_ended(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(
-        multiplexer, "MAX_QUEUED_MESSAGES", 100
-    )  # with the default limit, all answers would fit into the kernel's buffers
+    """The peer reads nothing until it has asked for more than the buffers of both sockets hold."""
+    monkeypatch.setattr(multiplexer, "MAX_QUEUED_MESSAGES", 100)
+    requests = 20_000
     async with harness() as here:
+        here.over = True
         client = await here.channel_client()
-        requests = codec.encode(codec.GlobalRequest("what", True)) * 200
-        await client.stream.send(requests)
-        seen = [await client.next()]
-        while seen[-1] not in (b"FIN", b"RST"):
-            seen.append(await client.next())
+        client.stream.extra(SocketAttribute.raw_socket).setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        await client.send_messages(codec.Ignore())
+        await here.settle()
+        (accepted,) = here.tracker._open_streams
+        accepted._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+
+        async def ask() -> None:
+            with contextlib.suppress(anyio.BrokenResourceError):
+                await client.stream.send(codec.encode(codec.GlobalRequest("what", True)) * requests)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await anyio.sleep(1.0)
+            seen = [await client.next()]
+            while seen[-1] not in (b"FIN", b"RST"):
+                seen.append(await client.next())
         assert any(isinstance(m, codec.Disconnect) and m.reason == codec.PROTOCOL_ERROR for m in seen)
+        assert len(seen) < requests
 
 
 async def test_an_idle_channel_connection_is_ended() -> None:
