Read the records of other versions without mapping them

Callers would lose all connections: a process ended with SIGBUS when a record of the version registry was cut short, and refused everybody when it held garbage.

Cause: the records were mapped and their values used unchecked; a FIFO in the place of one was waited for.

Records are read by pread and written by pwrite; an unsound one leaves the last in force. The old test closed the map of a dead process by hand, which is gone.

--- a/puffinford/management/versions.py
+++ b/puffinford/management/versions.py
@@ -8,18 +8,20 @@
 
 import contextlib
 import fcntl
-import mmap
 import os
+import stat
 import struct
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 from pathlib import Path
 
 MAX_PROCESSES = 4  # at a time; two during an upgrade
 OWN_DESCRIPTORS = 16  # of a process, besides its counted sockets
 _RECORD = struct.Struct("=III")  # number in order of start, ready, descriptors
 _READY_OFFSET, _DESCRIPTORS_OFFSET = 4, 8
+_FIELD = struct.Struct("=I")
+MAX_NUMBER = 1 << 30  # of a process; starts from there on are not counted on
+MAX_DESCRIPTORS = 1 << 20  # of a process
 
 
 @contextmanager
@@ -30,15 +32,29 @@
         yield
 
 
-@dataclass
 class _Other:
-    """The record of another live process, mapped from its file."""
+    """The record of another live process, read from its file.
 
-    view: mmap.mmap
+    Read anew each time and not mapped: a file that is cut short would end a process that has it mapped.
+    """
+
+    def __init__(self, file: int) -> None:
+        self._file = file
+        self._last = (0, 0, OWN_DESCRIPTORS)  # numbers count from 1
 
     def read(self) -> tuple[int, int, int]:
-        number, ready, descriptors = _RECORD.unpack_from(self.view)
-        return number, ready, descriptors
+        """Number, ready and descriptors; the last sound ones if the file holds no record."""
+        record = b""
+        with contextlib.suppress(OSError):
+            record = os.pread(self._file, _RECORD.size, 0)
+        if len(record) == _RECORD.size:
+            number, ready, descriptors = _RECORD.unpack(record)
+            if number <= MAX_NUMBER and ready <= 1 and descriptors <= MAX_DESCRIPTORS:
+                self._last = number, ready, descriptors
+        return self._last
+
+    def close(self) -> None:
+        os.close(self._file)
 
 
 class VersionRegistry:
@@ -51,7 +67,6 @@
         self._path = path
         self._others: dict[int, _Other] = {}
         self._slot = -1
-        self._view: mmap.mmap | None = None
         self._number = 1
         self._file = -1  # descriptor, open and locked until the process ends
 
@@ -72,15 +87,20 @@
         return self._path.with_name(f"{self._path.name}.version-{slot}")
 
     def _claim(self, slot: int) -> bool:
-        file = os.open(self._slot_path(slot), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        """Lock a slot's file and write the record; False if it is in use. Raises OSError."""
+        file = os.open(self._slot_path(slot), os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NONBLOCK, 0o600)
         try:
+            if not stat.S_ISREG(os.fstat(file).st_mode):
+                raise OSError(f"{self._slot_path(slot)}: not a regular file")
             fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            os.ftruncate(file, _RECORD.size)
+            os.pwrite(file, _RECORD.pack(self._number, 0, OWN_DESCRIPTORS), 0)
         except BlockingIOError:
             os.close(file)
             return False
-        os.ftruncate(file, _RECORD.size)
-        self._view = mmap.mmap(file, _RECORD.size)
-        _RECORD.pack_into(self._view, 0, self._number, 0, OWN_DESCRIPTORS)
+        except OSError:
+            os.close(file)
+            raise
         self._slot, self._file = slot, file
         return True
 
@@ -92,38 +112,45 @@
             if slot == self._slot:
                 continue
             try:
-                view = self._live_view(slot)
+                is_alive = self._is_locked(slot)
             except OSError:
                 continue  # out of descriptors, for example: keep the last state
-            if view is None:
-                self._others.pop(slot, None)
-            elif slot not in self._others:
-                self._others[slot] = _Other(view)
-
-    def _live_view(self, slot: int) -> mmap.mmap | None:
-        """The record of the process that holds a slot; None if no live process does."""
-        with contextlib.suppress(FileNotFoundError), open(self._slot_path(slot), "rb") as file:
+            if not is_alive and slot in self._others:
+                self._others.pop(slot).close()
+
+    def _is_locked(self, slot: int) -> bool:
+        """Whether a live process holds a slot, whose record is then in `_others`. Raises OSError."""
+        with contextlib.suppress(FileNotFoundError):
+            file = os.open(self._slot_path(slot), os.O_RDONLY | os.O_CLOEXEC | os.O_NONBLOCK)
             try:
                 fcntl.flock(file, fcntl.LOCK_SH | fcntl.LOCK_NB)
             except BlockingIOError:
-                known = self._others.get(slot)
-                with contextlib.suppress(ValueError):  # the file was just created and is still empty
-                    return (
-                        known.view if known else mmap.mmap(file.fileno(), _RECORD.size, prot=mmap.PROT_READ)
-                    )
-        return None
+                if slot not in self._others:
+                    other = _Other(os.dup(file))
+                    if not other.read()[0]:
+                        other.close()  # just created, and without a record yet
+                        return False
+                    self._others[slot] = other
+                return True
+            finally:
+                os.close(file)
+        return False
 
     # Published to the other processes
 
     def publish_ready(self, ready: bool) -> None:
         """Record whether this process is ready."""
-        if self._view is not None:
-            struct.pack_into("=I", self._view, _READY_OFFSET, ready)
+        self._publish(_READY_OFFSET, int(ready))
 
     def publish_sockets(self, sockets: int) -> None:
         """Record how many counted sockets this process has open."""
-        if self._view is not None:
-            struct.pack_into("=I", self._view, _DESCRIPTORS_OFFSET, sockets + OWN_DESCRIPTORS)
+        self._publish(_DESCRIPTORS_OFFSET, sockets + OWN_DESCRIPTORS)
+
+    def _publish(self, offset: int, value: int) -> None:
+        """Write a field of the record; it stays as it was if that fails."""
+        if self._file >= 0:
+            with contextlib.suppress(OSError):
+                os.pwrite(self._file, _FIELD.pack(value), offset)
 
     # Read from the other processes
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -143,12 +143,47 @@
     new.publish_ready(True)
     assert old.has_ready_successor and not new.has_ready_successor
     os.close(new._file)
-    new._view.close()  # type: ignore[union-attr]
     old.refresh()
     assert (old.descriptors_elsewhere, old.has_ready_successor) == (0, False)
     assert tracker.ensure_capacity()
 
 
+@pytest.mark.parametrize("record", [b"", b"\1", b"\xff" * 12, b"\1\0\0\0\2\0\0\0\0\0\0\0"])
+def test_a_record_that_is_cut_or_overwritten_leaves_the_last_state(record: bytes, tmp_path: Path) -> None:
+    """Guards against a process that ends with SIGBUS, or refuses all clients, for another one's record."""
+    path = state_path(str(tmp_path), "n/1")
+    old, new = VersionRegistry(path), VersionRegistry(path)
+    old.register()
+    new.register()
+    new.publish_sockets(140)
+    new.publish_ready(True)
+    old.refresh()
+    before = (old.descriptors_elsewhere, old.has_ready_successor)
+    assert before == (140 + OWN_DESCRIPTORS, True)
+    file = new._slot_path(new._slot)
+    os.truncate(file, 0)
+    with file.open("r+b") as other:
+        other.write(record)
+    old.refresh()
+    assert (old.descriptors_elsewhere, old.has_ready_successor) == before
+    new.publish_sockets(10)
+    assert new.has_predecessor
+
+
+def test_what_is_no_file_in_the_place_of_a_record_ends_no_process(tmp_path: Path) -> None:
+    """Guards against waiting for the writer of a FIFO, and against an exception at the start."""
+    path = state_path(str(tmp_path), "n/1")
+    assert path is not None
+    for slot, make in enumerate((os.mkfifo, os.mkdir)):
+        make(path.with_name(f"{path.name}.version-{slot}"))
+    registry = VersionRegistry(path)
+    with pytest.raises(OSError):
+        registry.register()
+    registry.refresh()
+    registry.publish_ready(True)
+    assert not registry.has_ready_successor and not registry.descriptors_elsewhere
+
+
 @pytest.mark.anyio
 async def test_an_old_version_ends_what_rests_before_the_earliest_kill(tmp_path: Path) -> None:
     """Guards against an idle client whose request is cut off unanswered while its balancer shuts down."""
