Refuse a payment that comes again, and see a client's end behind unread input

An open was begun whose client had closed, with much unread before its FIN.

Cause: a request was forgotten with its connection, and has_left looked at the next unread byte alone.

What was refused with BUSY, moved or cut may come again. peer_closed asks for a hang-up (POLLRDHUP) behind unread input.

--- a/puffinford/core/attempts.py
+++ b/puffinford/core/attempts.py
@@ -18,6 +18,7 @@
 from puffinford.core.stall import StallWatch
 from puffinford.core.values import AttemptEnded, ConnectionBroken, Failed, Message, ServerConnector, Up
 
+NEVER_RAN = frozenset((it.Result.FULL, it.Result.CONNECT_FAILED, it.Result.NOT_SENT))
 RESUME_RETRY_MS = 250.0  # mean pause between attempts to resume a connection
 RESUME_ANSWER_MARGIN_MS = 50.0  # for the answer to arrive before its client stops waiting
 
@@ -95,7 +96,7 @@
         return up, ended
 
     def _opening_sent(self, request: ClientRequest, attempt: ServerAttempt) -> None:
-        attempt.sent = True
+        attempt.sent = request.may_have_run = True
         self._context.counters.add(request.opening.cls, Count.ATTEMPTS)
 
     async def _run(
@@ -121,6 +122,8 @@
     ) -> None:
         """Report an attempt that ended without an established connection."""
         request.attempt = None
+        if ended.result in NEVER_RAN:
+            request.may_have_run = False
         self._log_ended(request, attempt, ended, latency)
         served = ended.result is it.Result.OK and request.completion is None
         if served:
--- a/puffinford/core/context.py
+++ b/puffinford/core/context.py
@@ -28,6 +28,7 @@
     requests: RequestTable = field(default_factory=RequestTable)
     observer: RequestObserver | None = None
     classes: frozenset[str] = frozenset()  # names of the request classes in `settings`
+    at_most_once: frozenset[str] = frozenset()  # of them, those whose requests may not run twice
 
     @property
     def shutdown_refusal(self) -> Busy:
@@ -38,4 +39,5 @@
         """Replace the settings."""
         self.settings = settings
         self.classes = frozenset(cls.name for cls in settings.classes)
+        self.at_most_once = frozenset(cls.name for cls in settings.classes if cls.effect is it.Effect.UNSAFE)
         self.counters.register(cls.name for cls in settings.classes)
--- a/puffinford/core/exchange.py
+++ b/puffinford/core/exchange.py
@@ -28,6 +28,7 @@
 from puffinford.core.logger import log
 from puffinford.core.probes import Probes
 from puffinford.core.requests import ClientRequest, Completion
+from puffinford.core.run_requests import LocalRunRecord, RepeatGuard, RunRecord
 from puffinford.core.servers import ServerTable
 from puffinford.core.silent_servers import SilentServerWatch
 from puffinford.core.stall import WATCH_INTERVAL_MS, StallWatch
@@ -69,6 +70,7 @@
         self._servers = ServerTable(context)
         self._stall = StallWatch(clock)
         self._reports = LoadReports(context)
+        self._repeats = RepeatGuard(context, LocalRunRecord(clock))
         self._completions = Completions(context, self._reports)
         self._answers = Answers(context)
         self._delays = DelayWatch(context)
@@ -130,6 +132,15 @@
             self._delays.configure()
             self._balancer.configure(settings)
 
+    @property
+    def run_record(self) -> RunRecord:
+        """The record of requests that may not run again."""
+        return self._repeats.record
+
+    @run_record.setter
+    def run_record(self, record: RunRecord) -> None:
+        self._repeats.record = record
+
     @property
     def observer(self) -> RequestObserver | None:
         """Receives callbacks on the outcome of requests."""
@@ -290,6 +301,7 @@
             self._completions.handle_error(request)
         finally:
             del self._requests[request.id]
+            self._repeats.request_ended(request)
         await self._answers.close_connections(request)
 
     def _refusal(self, opening: Opening, has_capacity: bool) -> Busy | Failed | None:
@@ -298,6 +310,8 @@
             return Failed("unknown class")
         if opening.request_id in self._requests:
             return Failed("id in use")
+        if self._repeats.is_repeat(opening):
+            return Failed("may have run already")
         if self._drain.refusing:
             return self.shutdown_refusal
         if not has_capacity:
--- a/puffinford/core/forwarding.py
+++ b/puffinford/core/forwarding.py
@@ -60,6 +60,7 @@
     async def _client_closed(self, request: ClientRequest, broken: bool) -> None:
         if request.completion is not None:
             return
+        request.client_left = True
         if not request.is_established:
             self._completions.abandon(request, Completion(broken=True))
             return
@@ -109,6 +110,7 @@
         The task that reads from the client may have returned already because the server was lost too. After a
         half-close it is still running, and closes the request itself.
         """
+        request.client_left = True
         if not request.client_closed:
             self._completions.close(request, Completion(broken=True), it.Result.CANCELLED)
 
--- a/puffinford/core/requests.py
+++ b/puffinford/core/requests.py
@@ -38,6 +38,8 @@
         self.up = anyio.Event()
         self.done = anyio.Event()
         self.client_closed = False  # the client has closed its sending side
+        self.client_left = False  # the client has closed or reset its connection, or cancelled
+        self.may_have_run = False  # a server has been sent the opening and has not said that it did nothing
         self.completion: Completion | None = None
 
     @property
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -11,6 +11,7 @@
 import errno
 import ipaddress
 import resource
+import select
 import socket
 import struct
 from collections.abc import Callable, Iterator
@@ -187,12 +188,12 @@
     async def peer_closed(self) -> bool:
         """Whether the peer's FIN or RST has arrived, read or not.
 
-        Gives readers some turns to consume input that precedes it. Prevents an attempt for a client that has
-        left, whose FIN is unread because the event loop is late.
+        Gives readers some turns to consume input. Prevents an attempt for a client that has left, whose FIN
+        is unread because the event loop is late or much was sent before it.
         """
         for _ in range(CLOSE_CHECK_TURNS):
             try:
-                if not self._sock.recv(1, socket.MSG_PEEK):
+                if not self._sock.recv(1, socket.MSG_PEEK) or self._has_hung_up():
                     return True
             except BlockingIOError:
                 return False
@@ -203,6 +204,12 @@
             await checkpoint()
         return False
 
+    def _has_hung_up(self) -> bool:
+        """Whether the peer's FIN or RST has arrived behind input that is still unread."""
+        poller = select.poll()
+        poller.register(self._sock, select.POLLRDHUP)
+        return bool(poller.poll(0))
+
     @property
     def sent_bytes(self) -> int:
         """How many of `accepted_bytes` the system has taken."""
--- a/puffinford/serve.py
+++ b/puffinford/serve.py
@@ -6,6 +6,7 @@
 import random
 import signal
 from collections.abc import AsyncIterator, Callable, Mapping
+from pathlib import Path
 
 import anyio
 import anyio.abc
@@ -37,6 +38,7 @@
 from puffinford.management.cordons import Cordons
 from puffinford.management.http import HttpCallHandler
 from puffinford.management.inventory_report import InventoryReport
+from puffinford.management.shared_run_record import SharedRunRecord
 from puffinford.management.versions import VersionRegistry
 from puffinford.rebalance.service import Rebalancer, planner_settings
 from puffinford.server_list.endpoints import rendezvous_order
@@ -121,6 +123,7 @@
         management = Front("management", http_handler.handle, mgmt_tracker, MGMT_ACCEPTS_PER_TURN)
         self._listeners = ListenerManager(config, clock, lines, channels, management, self._may_accept)
         self._versions = VersionRegistry(path)
+        self._share_run_record(path)
         for budget in (self._budget, mgmt_tracker.budget):
             budget.on_change = lambda: self._versions.publish_sockets(
                 self._budget.used + mgmt_tracker.budget.used
@@ -142,6 +145,15 @@
             handlers["inventory"], gauges = report.handle_call, report.gauges
         return AdminApi(self._exchange, self._cordons, self._lacking, handlers, gauges)
 
+    def _share_run_record(self, path: Path | None) -> None:
+        """Share the record of at-most-once requests with the balancer's other processes, if possible."""
+        if path is None:
+            return
+        try:
+            self._exchange.run_record = SharedRunRecord(path, self._exchange.run_record)
+        except OSError as exc:
+            log.error("record of requests not shared", extra={"error": str(exc)})
+
     async def run(self) -> None:
         """Serve until a signal ends the process."""
         handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
