--- a/puffinford/relay/entries.py
+++ b/puffinford/relay/entries.py
@@ -9,7 +9,7 @@
 
 from puffinford.core.values import ServerEntries, ServerEntry
 from puffinford.interface import Server, ServerState
-from puffinford.server_list.entries import STATES_BY_NAME
+from puffinford.server_list.entries import MAX_ENTRIES, STATES_BY_NAME
 from puffinford.server_list.watch import CallFailed
 from puffinford.state.recovery import ListValidator
 
@@ -50,6 +50,8 @@
         raise CallFailed(f"not a list: {exc}") from None
     if not isinstance(answer, dict) or not isinstance(answer.get("servers"), list):
         raise CallFailed("not a list: servers is missing or not an array")
+    if len(answer["servers"]) > MAX_ENTRIES:
+        raise CallFailed(f"not a list: {len(answer['servers'])} entries, {MAX_ENTRIES} at most")
     version, full = answer.get("version"), answer.get("full")
     if type(version) is not int:
         raise CallFailed("not a list: version is missing or not an integer")
--- a/puffinford/server_list/entries.py
+++ b/puffinford/server_list/entries.py
@@ -17,6 +17,10 @@
 MAX_VERSION = (1 << 63) - 1  # of a list: the largest that the state store holds
 
 
+MAX_ENTRIES = 20_000  # of a list: six times the largest fleet
+MAX_REPORTED_ENTRIES = 20  # of the malformed ones
+
+
 class BadEntry(Exception):
     """An entry or list is malformed; the text gives the reason."""
 
@@ -91,10 +95,14 @@
 ) -> ServerEntries:
     """Parse an answer of discovery.
 
-    A malformed entry is left out and reported to `reject`; a malformed answer raises BadEntry.
+    A malformed entry is left out and reported to `reject`, the first MAX_REPORTED_ENTRIES by themselves; a
+    malformed answer raises BadEntry.
     """
     if not isinstance(answer, dict) or not isinstance(answer.get("servers"), list):
         raise BadEntry("servers is missing or not a list")
+    if len(answer["servers"]) > MAX_ENTRIES:
+        # Prevents lines from being late while hundreds of thousands of entries are read.
+        raise BadEntry(f"servers has {len(answer['servers'])} entries, {MAX_ENTRIES} at most")
     version = answer.get("version")
     if type(version) is not int or abs(version) > MAX_VERSION:
         raise BadEntry("version is missing or not a 64-bit integer")
@@ -102,9 +110,14 @@
         raise BadEntry("full is missing or not a boolean")
     start_times.observe_latest(_newest_start(answer["servers"]))
     entries = []
+    rejected = 0
     for number, entry in enumerate(answer["servers"]):
         try:
             entries.append(parse_entry(entry, start_times.local_time))
         except BadEntry as exc:
-            reject(f"entry {number}: {exc}")
+            rejected += 1
+            if rejected <= MAX_REPORTED_ENTRIES:
+                reject(f"entry {number}: {exc}")
+    if rejected > MAX_REPORTED_ENTRIES:
+        reject(f"{rejected - MAX_REPORTED_ENTRIES} more entries are malformed")
     return ServerEntries(version, answer["full"], entries)
--- a/tests/test_file_contents.py
+++ b/tests/test_file_contents.py
@@ -17,6 +17,9 @@
 from puffinford.core.values import ServerEntries
 from puffinford.management.cordons import Cordons
 from puffinford.operators import BadSettings, load_settings
+from puffinford.relay.entries import decode as decode_relayed
+from puffinford.server_list.discovery import CallFailed, DiscoveryWatch
+from puffinford.server_list.entries import MAX_REPORTED_ENTRIES, parse_server_list
 from puffinford.server_list.inventory import MAX_FILE_BYTES, BadInventory, load
 from puffinford.server_list.inventory_file import MAX_INLINE_BYTES, InventoryFile
 
@@ -173,3 +176,26 @@
     with pytest.raises(BadSettings, match=f"^{tmp_path}/"):
         load_settings(path)
     assert time.perf_counter() - started_at < LINE_HELD_S
+
+
+def test_an_answer_of_very_many_entries_holds_up_no_line() -> None:
+    """Guards against a list of 4 MB that is read, and complained of entry by entry, for 30 s."""
+    entries = ",".join(["{}"] * 1_300_000)
+    body = f'{{"version":1,"full":true,"servers":[{entries}]}}'.encode()
+    watch = DiscoveryWatch(("127.0.0.1", 1), None, Clock(), lambda entries: None)
+    started_at = time.perf_counter()
+    with pytest.raises(CallFailed, match="1300000 entries"):
+        watch._parse(body)
+    with pytest.raises(CallFailed, match="1300000 entries"):
+        decode_relayed(body, print)
+    assert time.perf_counter() - started_at < LINE_HELD_S
+
+
+def test_the_malformed_entries_of_a_list_are_reported_up_to_a_number() -> None:
+    """Guards against thousands of log records for one list."""
+    servers: list[object] = [{"id": f"s-{number}"} for number in range(1_000)]
+    reported: list[str] = []
+    answer = {"version": 1, "full": True, "servers": [*servers, {"id": "s-1", "addr": "127.0.0.1:81"}]}
+    entries = parse_server_list(answer, StartTimes(Clock()), reported.append)
+    assert entries.size == 1 and len(reported) == MAX_REPORTED_ENTRIES + 1
+    assert reported[-1] == f"{1_000 - MAX_REPORTED_ENTRIES} more entries are malformed"
