Answer opens that wait for their turn when their connection is ended

Callers of a busy channel connection would get no answer to opens that had been read: since connections share the event loop, a message may wait between its reading and its handling, and the end of the process cancels the wait.

Cause: the message was in the cancelled task alone, and so was the rest of what had been read. A line is now charged before it is taken, for the same reason.

A hang-up behind unread input counts only as POLLRDHUP, POLLHUP or POLLERR, and not as any event that poll may report.

--- a/puffinford/fronts/channels/multiplexer.py
+++ b/puffinford/fronts/channels/multiplexer.py
@@ -416,10 +416,7 @@
                             "disconnected", extra={"reason": message.reason, "why": message.description[:100]}
                         )
                         return None
-                    if self._share is not None:
-                        await self._share.spend(
-                            OPEN_COST if isinstance(message, codec.ChannelOpen) else MESSAGE_COST
-                        )
+                    await self._wait_for_turn(message, packets)
                     if isinstance(message, codec.ChannelRequest):
                         await self._wait_for_receiver(message.recipient)
                     self._handle_message(message)
@@ -447,6 +444,23 @@
         except (PeerClosed, ConnectionBroken):
             return None
 
+    async def _wait_for_turn(self, message: codec.Message, packets: codec.PacketReader) -> None:
+        """Wait until a client's message may be handled.
+
+        Prevents opens that have been read from being left without an answer when the connection is ended
+        meanwhile: they are handled at once then, and refused by `_send_final_messages`.
+        """
+        if self._share is None:
+            return
+        try:
+            await self._share.spend(OPEN_COST if isinstance(message, codec.ChannelOpen) else MESSAGE_COST)
+        except anyio.get_cancelled_exc_class():
+            with contextlib.suppress(codec.MalformedMessage):
+                self._handle_message(message)
+                while (payload := packets.next()) is not None:
+                    self._handle_message(codec.decode(payload))
+            raise
+
     async def _wait_for_receiver(self, local_id: int) -> None:
         """Give the receiver of a full channel some turns to make room.
 
--- a/puffinford/fronts/lines/connection.py
+++ b/puffinford/fronts/lines/connection.py
@@ -69,9 +69,9 @@
 
     async def receive(self) -> Message:
         """Return the next message; raises PeerClosed or ConnectionBroken."""
-        line = await self.read_line()
-        if self._share is not None:
+        if self._share is not None:  # before the line is taken, which a cancelled wait would lose
             await self._share.spend(LINE_COST)
+        line = await self.read_line()
         # Prevents a client's line, or the rest of one that is too long, from being read as a server's word.
         may_be_word = self._is_server and self._at_line_start
         self._at_line_start = line.endswith(b"\n")
--- a/puffinford/fronts/sockets.py
+++ b/puffinford/fronts/sockets.py
@@ -39,6 +39,7 @@
 # For discovery, the listeners, the process's own files and one turn of accepting.
 RESERVED_DESCRIPTORS = 32
 MAX_MGMT_DESCRIPTORS = 16  # for callers of the management address only
+_HANG_UP_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 MGMT_ACCEPTS_PER_TURN = 4  # may exceed MAX_MGMT_DESCRIPTORS until idle callers are evicted
 
 
@@ -208,7 +209,7 @@
         """Whether the peer's FIN or RST has arrived behind input that is still unread."""
         poller = select.poll()
         poller.register(self._sock, select.POLLRDHUP)
-        return bool(poller.poll(0))
+        return any(events & _HANG_UP_EVENTS for _, events in poller.poll(0))
 
     @property
     def sent_bytes(self) -> int:
--- a/tests/test_fair_turns.py
+++ b/tests/test_fair_turns.py
@@ -126,3 +126,28 @@
                 while done < before + WORK_AT_ONCE:
                     await anyio.sleep(0.01)
             tasks.cancel_scope.cancel()
+
+
+async def test_opens_that_wait_for_their_turn_are_answered_when_their_connection_ends() -> None:
+    """Guards against requests that were read and get no answer, as the process ends while others are busy."""
+    async with harness() as here:
+        here.over = True
+        client = await here.channel_client()
+        await client.send_messages(codec.Ignore())
+        await here.settle()
+        extra = encode_opening(Opening.from_parameters("0a", "7f3a", (("c", "nowhere"), ("d", "900"))), 900.0)
+        opens = [codec.ChannelOpen(codec.REQUEST_CHANNEL, n, 1, 1, extra) for n in range(WORK_AT_ONCE)]
+
+        async def never(start: int) -> int:
+            await anyio.sleep_forever()
+            return start
+
+        here.tracker.turns.wait = never  # type: ignore[method-assign]
+        await client.send_messages(*opens)
+        await here.settle()
+        here.tracker.end_sessions()
+        answers = [await client.next()]
+        while answers[-1] not in (b"FIN", b"RST"):
+            answers.append(await client.next())
+        refused = [message.recipient for message in answers if isinstance(message, codec.OpenFailure)]
+        assert sorted(refused) == list(range(WORK_AT_ONCE))
