Allow lists of 32,768 entries, as relays are tested with 20,002

A relay with a list of 20,002 servers refused it, and its callers got no list.

Cause: the bound of 20,000 entries that set is below what the project's own test of bad callers lists.

--- a/puffinford/server_list/entries.py
+++ b/puffinford/server_list/entries.py
@@ -17,7 +17,7 @@
 MAX_VERSION = (1 << 63) - 1  # of a list: the largest that the state store holds
 
 
-MAX_ENTRIES = 20_000  # of a list: six times the largest fleet
+MAX_ENTRIES = 32_768  # of a list: ten times the largest fleet
 MAX_REPORTED_ENTRIES = 20  # of the malformed ones
 
 
